Relay opaque requests on the platform: routes, keys, quotas, placement, streams

Cause: the daemon knew only its own caller interface; the platform's callers, replicas and store could not be served.

The relay reads its configuration and replicas from a directory that can only be read, places each request by predicted first event, continues resumable streams at another replica and shares work and quota use among daemons in digests. platform/ translates header fields and documents.

--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import io.persimmonreel.core.request.RequestIdentity;
 import io.persimmonreel.core.service.Tier;
 import java.util.List;
+import java.util.Map;
 
 /** A message between two daemons. */
 public sealed interface PeerMessage {
@@ -244,4 +245,54 @@
 
     /** Tells that the sender is leaving and takes no new work. */
     record Leaving() implements PeerMessage {}
+
+    /**
+     * Reports a relay's view: its members, its version of the directory, its work at each replica
+     * and what customers used of their quotas.
+     *
+     * @param address the address at which the sender accepts peers
+     * @param leaving whether the sender takes no new work
+     * @param members the addresses of peers that the sender hears
+     * @param directoryRevision the newest revision of the directory that the sender holds
+     * @param configVersion the version of the configuration in force at the sender, 0 if none
+     * @param replicas the work at replicas that have any, and their speeds
+     * @param use the units that customers used at the sender since its start
+     */
+    record RelayDigest(
+            String address,
+            boolean leaving,
+            List<String> members,
+            long directoryRevision,
+            long configVersion,
+            List<ReplicaWork> replicas,
+            Map<String, Long> use)
+            implements PeerMessage {}
+
+    /**
+     * Reports a relay's work at one replica.
+     *
+     * @param replica the replica's id
+     * @param inFlight requests in flight from the sender
+     * @param prefillTokens prompt tokens sent and not yet answered by an event
+     * @param tokenMicros the learned time for one token in microseconds, 0 if unknown
+     */
+    record ReplicaWork(String replica, int inFlight, int prefillTokens, int tokenMicros) {}
+
+    /**
+     * Asks for the documents of the directory.
+     *
+     * @param haveRevision the newest revision that the sender holds, 0 if none
+     * @param haveConfigVersion the version of the configuration in force at the sender, 0 if none
+     */
+    record DirectoryRequest(long haveRevision, long haveConfigVersion) implements PeerMessage {}
+
+    /**
+     * Carries the documents of the directory as its source returned them.
+     *
+     * @param revision the revision that the documents reflect
+     * @param names the names of the documents
+     * @param contents the contents, parallel to {@code names}
+     */
+    record DirectoryCopy(long revision, List<String> names, List<byte[]> contents)
+            implements PeerMessage {}
 }
--- /dev/null
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -0,0 +1,182 @@
+package io.persimmonreel.core.placement;
+
+import io.persimmonreel.core.replica.Affinity;
+import io.persimmonreel.core.replica.Replica;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Chooses the replica that will give the first event soonest, with regard to the requests that run
+ * there.
+ *
+ * <p>It answers unlike engines under stale load reports: predictions come from requests in flight,
+ * learned speeds and the prompt parts that a replica holds. Long outputs avoid slow replicas, and
+ * requests of one session go to one home replica unless it is busy. Not thread safe.
+ */
+public final class Placement {
+    /** Time for one token before anything was learned, in milliseconds. */
+    public static final double TYPICAL_TOKEN_MILLIS = 6.0;
+
+    /** Ratio of the time to read a prompt token to the time to generate one, in microseconds. */
+    private static final double PREFILL_MICROS_PER_TOKEN_MILLI = 4.0;
+
+    /** Service time of a plain request before anything was learned, in milliseconds. */
+    private static final double TYPICAL_PLAIN_MILLIS = 50.0;
+
+    /** Weight of a full replica against an empty one, in milliseconds. */
+    private static final double LOAD_MILLIS = 120.0;
+
+    /** Weight of a replica that fails all its requests, in milliseconds. */
+    private static final double FAILURE_MILLIS = 600.0;
+
+    /** A replica that has not answered since its failures gets few requests. */
+    private static final double PROBATION_MILLIS = 150.0;
+
+    /** Output lengths are known to about this factor. */
+    private static final double LENGTH_MARGIN = 1.6;
+
+    /** Chance that the home of a session holds its prompt if another daemon sent it there. */
+    private static final double HOME_CHANCE = 0.5;
+
+    /** A prompt that is read again costs engine time that other requests need. */
+    private static final double PREFILL_WEIGHT = 1.5;
+
+    /** Random part of a score in milliseconds, which keeps daemons from choosing alike. */
+    private static final double JITTER_MILLIS = 12.0;
+
+    private final KeptParts mKept;
+    private final SplittableRandom mRandom;
+
+    /**
+     * Creates a placement.
+     *
+     * @param kept remembers where prompts were read
+     * @param seed the seed of the random part of scores
+     */
+    public Placement(final KeptParts kept, final long seed) {
+        mKept = kept;
+        mRandom = new SplittableRandom(seed);
+    }
+
+    /**
+     * Chooses a replica.
+     *
+     * @param work the request's work
+     * @param replicas the replicas of its upstream
+     * @param excluded ids of replicas that must not be used
+     * @param millisLeft the time in milliseconds until the request's deadline
+     * @param nowNanos the present monotonic time in nanoseconds
+     * @return the choice, or empty if no replica may be used
+     */
+    public Optional<Choice> choose(
+            final WorkSize work,
+            final Collection<Replica> replicas,
+            final Set<String> excluded,
+            final double millisLeft,
+            final long nowNanos) {
+        final Replica home = home(work, replicas, nowNanos);
+        Choice best = null;
+        boolean bestHealthy = false;
+        for (final Replica replica : replicas) {
+            if (replica.entry().draining() || excluded.contains(replica.entry().id())) {
+                continue;
+            }
+            // Ejected replicas serve only if there is no other one.
+            final boolean healthy = !replica.health().isEjected(nowNanos);
+            if (best != null && bestHealthy && !healthy) {
+                continue;
+            }
+            final Choice choice = predict(work, replica, replica == home, millisLeft, nowNanos);
+            if (best == null
+                    || healthy && !bestHealthy
+                    || choice.scoreMillis() < best.scoreMillis()) {
+                best = choice;
+                bestHealthy = healthy;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Holds a chosen replica and what is predicted there.
+     *
+     * @param replica the replica
+     * @param firstMillis the predicted time to the first event or answer in milliseconds
+     * @param waitMillis the part of it that the request waits for a slot
+     * @param totalMillis the predicted time to the end of the answer in milliseconds
+     * @param prefillTokens the prompt tokens that the replica is expected to read
+     * @param load the estimated running and waiting requests there
+     * @param scoreMillis the score, lower is better
+     */
+    public record Choice(
+            Replica replica,
+            double firstMillis,
+            double waitMillis,
+            double totalMillis,
+            int prefillTokens,
+            double load,
+            double scoreMillis) {}
+
+    private Choice predict(
+            final WorkSize work,
+            final Replica replica,
+            final boolean home,
+            final double millisLeft,
+            final long nowNanos) {
+        final double load = replica.load(nowNanos);
+        final int slots = replica.entry().slots();
+        final double token = replica.tokenMillis(TYPICAL_TOKEN_MILLIS);
+        final double decode = work.outputTokens() * token;
+        final double prefillMicros =
+                replica.prefillTokenMicros(token * PREFILL_MICROS_PER_TOKEN_MILLI);
+        final int unread = unread(work, replica, home);
+        final double ownPrefill = unread * prefillMicros / 1_000.0;
+        final double prefill = ownPrefill + replica.pendingPrefill() * prefillMicros / 1_000.0;
+        final double service =
+                replica.serviceMillis(
+                        work.outputTokens() > 0 ? decode + prefill : TYPICAL_PLAIN_MILLIS);
+        final double queued = Math.max(0.0, load - slots + 1.0);
+        final double wait = queued * service / slots;
+        final double first =
+                wait + (work.outputTokens() > 0 ? prefill + token : Math.min(service, 1_000.0));
+        final double total = wait + prefill + Math.max(decode, first - wait);
+        final double late =
+                Math.max(0.0, wait + prefill + decode * LENGTH_MARGIN - millisLeft * 0.8);
+        final double score =
+                first
+                        + ownPrefill * (PREFILL_WEIGHT - 1.0)
+                        + LOAD_MILLIS * load / slots
+                        + late
+                        + FAILURE_MILLIS * replica.health().failureRate()
+                        + (replica.health().isOnProbation() ? PROBATION_MILLIS : 0.0)
+                        + mRandom.nextDouble() * JITTER_MILLIS;
+        return new Choice(replica, first, wait, total, unread, load, score);
+    }
+
+    private int unread(final WorkSize work, final Replica replica, final boolean home) {
+        final int kept = mKept.tokens(work, replica);
+        final int unread = Math.max(0, work.promptTokens() - kept);
+        return home && kept < work.promptTokens() ? (int) (unread * (1.0 - HOME_CHANCE)) : unread;
+    }
+
+    private static Replica home(
+            final WorkSize work, final Collection<Replica> replicas, final long nowNanos) {
+        final long session = work.sessionHash();
+        Replica home = null;
+        long highest = Long.MIN_VALUE;
+        if (session != 0) {
+            for (final Replica replica : replicas) {
+                final long score = Affinity.score(session, replica);
+                if (score >= highest
+                        && !replica.entry().draining()
+                        && !replica.health().isEjected(nowNanos)) {
+                    highest = score;
+                    home = replica;
+                }
+            }
+        }
+        return home;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/persimmonreel/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the replica that serves a relayed request. */
+package io.persimmonreel.core.placement;
--- /dev/null
+++ b/core/src/main/java/io/persimmonreel/core/quota/CustomerAllowance.java
@@ -0,0 +1,92 @@
+package io.persimmonreel.core.quota;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Meters one customer's use across the fleet with a token bucket that every daemon keeps.
+ *
+ * <p>Own use is subtracted at once and the use that peers report is subtracted when it is heard.
+ * The share of peers that are silent is withheld, so that the parts of a split fleet together stay
+ * within the rate. Not thread safe.
+ */
+final class CustomerAllowance {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** A new process knows nothing of the use before its start and begins with this part. */
+    private static final double START_SHARE = 0.5;
+
+    /** Use that is learned late is paid back over at most this many seconds of the rate. */
+    private static final double LONGEST_DEBT_SECONDS = 4.0;
+
+    private final Map<Long, Long> mPeerUse = new HashMap<>();
+    private double mRate;
+    private double mBurst;
+    private double mLevel;
+    private long mFilledNanos;
+    private long mOwnUse;
+
+    CustomerAllowance(final double rate, final double burst, final long nowNanos) {
+        mRate = rate;
+        mBurst = burst;
+        mLevel = burst * START_SHARE;
+        mFilledNanos = nowNanos;
+    }
+
+    void configure(final double rate, final double burst) {
+        mRate = rate;
+        mBurst = burst;
+        mLevel = Math.min(mLevel, burst);
+    }
+
+    boolean use(final long units, final double heardShare, final long nowNanos) {
+        fill(heardShare, nowNanos);
+        if (mRate <= 0) {
+            return true;
+        }
+        if (mLevel <= 0) {
+            return false;
+        }
+        mLevel -= units;
+        mOwnUse += units;
+        return true;
+    }
+
+    /** Gives back units of a request that did not run. */
+    void giveBack(final long units) {
+        mLevel = Math.min(mBurst, mLevel + units);
+        mOwnUse -= units;
+    }
+
+    long ownUse() {
+        return mOwnUse;
+    }
+
+    double level() {
+        return mLevel;
+    }
+
+    void onPeerUse(final long peer, final long total) {
+        final Long before = mPeerUse.put(peer, total);
+        if (before != null) {
+            mLevel -= total - before;
+            mLevel = Math.min(mBurst, Math.max(mLevel, -LONGEST_DEBT_SECONDS * mRate));
+        }
+    }
+
+    void forget(final long peer) {
+        mPeerUse.remove(peer);
+    }
+
+    /** Returns the time until units are available again, in milliseconds. */
+    long millisUntilAvailable(final double heardShare) {
+        final double rate = Math.max(1.0, mRate * heardShare);
+        return (long) Math.ceil(Math.max(0.0, 1.0 - mLevel) * 1_000.0 / rate);
+    }
+
+    private void fill(final double heardShare, final long nowNanos) {
+        final double seconds = Math.max(0, nowNanos - mFilledNanos) / NANOS_PER_SECOND;
+        mFilledNanos = nowNanos;
+        mLevel = Math.min(mBurst, mLevel + seconds * mRate * heardShare);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -0,0 +1,127 @@
+package io.persimmonreel.core.quota;
+
+import io.persimmonreel.core.route.RelayCustomer;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides whether a customer's request is within its quota, from own use and what peers report.
+ *
+ * <p>It answers the load of one customer that sends many times its usual through all daemons. Calls
+ * are serialized.
+ */
+public final class FleetQuota {
+    private final Map<String, CustomerAllowance> mAllowances = new HashMap<>();
+    private double mHeardShare = 1.0;
+
+    /**
+     * Takes the quotas of a configuration. Customers that are gone are forgotten.
+     *
+     * @param customers the customers
+     * @param nowNanos the present monotonic time in nanoseconds
+     */
+    public synchronized void configure(
+            final Collection<RelayCustomer> customers, final long nowNanos) {
+        final Set<String> names = new HashSet<>();
+        for (final RelayCustomer customer : customers) {
+            names.add(customer.name());
+            final CustomerAllowance known = mAllowances.get(customer.name());
+            if (known == null) {
+                mAllowances.put(
+                        customer.name(),
+                        new CustomerAllowance(
+                                customer.ratePerSecond(), customer.burst(), nowNanos));
+            } else {
+                known.configure(customer.ratePerSecond(), customer.burst());
+            }
+        }
+        mAllowances.keySet().retainAll(names);
+    }
+
+    /**
+     * Sets which part of the fleet is heard of.
+     *
+     * @param heard the daemons heard of late, this one included
+     * @param known all daemons that are assumed to run, at least 1
+     */
+    public synchronized void onMembers(final int heard, final int known) {
+        mHeardShare = Math.min(1.0, (double) Math.max(1, heard) / Math.max(1, known));
+    }
+
+    /**
+     * Uses units if the quota allows it.
+     *
+     * @param customer the customer
+     * @param units the units of the request
+     * @param nowNanos the present monotonic time in nanoseconds
+     * @return true if the request is within the quota
+     */
+    public synchronized boolean use(
+            final RelayCustomer customer, final long units, final long nowNanos) {
+        final CustomerAllowance allowance = mAllowances.get(customer.name());
+        return allowance == null || allowance.use(units, mHeardShare, nowNanos);
+    }
+
+    /**
+     * Gives back the units of a request that did not run.
+     *
+     * @param customer the customer's name
+     * @param units the units that were used
+     */
+    public synchronized void giveBack(final String customer, final long units) {
+        final CustomerAllowance allowance = mAllowances.get(customer);
+        if (allowance != null) {
+            allowance.giveBack(units);
+        }
+    }
+
+    /**
+     * Tells when a refused customer may try again.
+     *
+     * @param customer the customer
+     * @return milliseconds until its quota allows a request
+     */
+    public synchronized long millisUntilAvailable(final RelayCustomer customer) {
+        final CustomerAllowance allowance = mAllowances.get(customer.name());
+        return allowance == null ? 0 : allowance.millisUntilAvailable(mHeardShare);
+    }
+
+    /**
+     * Returns what this daemon used since its start, to be reported to peers.
+     *
+     * @return units by customer, without customers that used none
+     */
+    public synchronized Map<String, Long> ownUse() {
+        final Map<String, Long> use = new HashMap<>();
+        mAllowances.forEach(
+                (name, allowance) -> {
+                    if (allowance.ownUse() != 0) {
+                        use.put(name, allowance.ownUse());
+                    }
+                });
+        return use;
+    }
+
+    /**
+     * Takes what a peer used since its start.
+     *
+     * @param peer the peer's incarnation
+     * @param use units by customer
+     */
+    public synchronized void onPeerUse(final long peer, final Map<String, Long> use) {
+        mAllowances.forEach(
+                (name, allowance) -> allowance.onPeerUse(peer, use.getOrDefault(name, 0L)));
+    }
+
+    /**
+     * Forgets a peer that is gone.
+     *
+     * @param peer the peer's incarnation
+     */
+    public synchronized void forget(final long peer) {
+        mAllowances.values().forEach(allowance -> allowance.forget(peer));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/persimmonreel/core/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Quotas of customers that all daemons share without shared state. */
+package io.persimmonreel.core.quota;
--- /dev/null
+++ b/core/src/main/java/io/persimmonreel/core/replica/ReplicaSet.java
@@ -0,0 +1,76 @@
+package io.persimmonreel.core.replica;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Holds all known replicas by id and by upstream.
+ *
+ * <p>Readers see an immutable snapshot that writers replace (read-copy-update). A replica that
+ * starts again under its old id is a new one.
+ */
+public final class ReplicaSet {
+    private volatile Snapshot mSnapshot = new Snapshot(Map.of(), Map.of());
+
+    /**
+     * Replaces the entries.
+     *
+     * @param entries the entries of all replicas that may be used
+     */
+    public synchronized void replace(final Collection<ReplicaEntry> entries) {
+        final Map<String, Replica> before = mSnapshot.byId();
+        final Map<String, Replica> byId = new HashMap<>();
+        final Map<String, List<Replica>> byUpstream = new HashMap<>();
+        for (final ReplicaEntry entry : entries) {
+            final Replica replica = current(before.get(entry.id()), entry);
+            byId.put(entry.id(), replica);
+            byUpstream.computeIfAbsent(entry.upstream(), name -> new ArrayList<>()).add(replica);
+        }
+        mSnapshot = new Snapshot(byId, byUpstream);
+    }
+
+    /**
+     * Returns the replicas of an upstream.
+     *
+     * @param upstream the upstream's name
+     * @return the replicas, draining ones included
+     */
+    public List<Replica> of(final String upstream) {
+        return mSnapshot.byUpstream().getOrDefault(upstream, List.of());
+    }
+
+    /**
+     * Finds a replica.
+     *
+     * @param id the replica's id
+     * @return the replica, or empty
+     */
+    public Optional<Replica> find(final String id) {
+        return Optional.ofNullable(mSnapshot.byId().get(id));
+    }
+
+    /**
+     * Returns all replicas.
+     *
+     * @return the replicas of this moment
+     */
+    public Collection<Replica> all() {
+        return mSnapshot.byId().values();
+    }
+
+    private static Replica current(final Replica known, final ReplicaEntry entry) {
+        if (known == null
+                || known.entry().startedMillis() != entry.startedMillis()
+                || !known.entry().address().equals(entry.address())) {
+            return new Replica(entry);
+        }
+        known.update(entry);
+        return known;
+    }
+
+    private record Snapshot(Map<String, Replica> byId, Map<String, List<Replica>> byUpstream) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/persimmonreel/core/replica/package-info.java
@@ -0,0 +1,2 @@
+/** Replicas that were discovered, with what is believed of their load, speed and health. */
+package io.persimmonreel.core.replica;
--- /dev/null
+++ b/core/src/main/java/io/persimmonreel/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Budgets for sending requests to a second replica. */
+package io.persimmonreel.core.retry;
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/HttpLink.java
@@ -0,0 +1,194 @@
+package io.persimmonreel.daemon.directory;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Makes GET calls one after another on a kept connection.
+ *
+ * <p>A call that fails or takes too long ends its connection, since a lost answer could be taken
+ * for that of the next call. All methods run on the event loop.
+ */
+public final class HttpLink {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private final EventLoop mLoop;
+    private final InetSocketAddress mAddress;
+    private final int mMaximumBytes;
+    private Channel mChannel;
+    private Callback mCallback;
+    private Future<?> mTimeout;
+
+    /** Receives the result of a call; exactly one method is called, once. */
+    public interface Callback {
+        /**
+         * Reports an answer.
+         *
+         * @param status the status
+         * @param body the body
+         */
+        void onAnswer(int status, byte[] body);
+
+        /**
+         * Reports that there is no answer.
+         *
+         * @param reason the reason, one short sentence
+         */
+        void onFailure(String reason);
+    }
+
+    /**
+     * Creates a link without a connection.
+     *
+     * @param loop the event loop
+     * @param address the address of the server
+     * @param maximumBytes the largest body of an answer in bytes
+     */
+    public HttpLink(final EventLoop loop, final InetSocketAddress address, final int maximumBytes) {
+        mLoop = loop;
+        mAddress = address;
+        mMaximumBytes = maximumBytes;
+    }
+
+    /**
+     * Makes a call. No other call may be in progress.
+     *
+     * @param target the path and query
+     * @param timeoutMillis the longest time for the call in milliseconds
+     * @param callback receives the result
+     */
+    public void get(final String target, final long timeoutMillis, final Callback callback) {
+        if (mCallback != null) {
+            throw new IllegalStateException("a call is in progress");
+        }
+        mCallback = callback;
+        mTimeout =
+                mLoop.schedule(
+                        () -> fail("no answer for " + timeoutMillis + " ms"),
+                        timeoutMillis,
+                        TimeUnit.MILLISECONDS);
+        if (mChannel != null && mChannel.isActive()) {
+            write(target);
+            return;
+        }
+        mChannel =
+                new Bootstrap()
+                        .group(mLoop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .handler(initializer())
+                        .connect(mAddress)
+                        .addListener(
+                                done -> {
+                                    if (mCallback != callback) {
+                                        return;
+                                    }
+                                    if (done.isSuccess()) {
+                                        write(target);
+                                    } else {
+                                        fail(String.valueOf(done.cause()));
+                                    }
+                                })
+                        .channel();
+    }
+
+    private ChannelInitializer<Channel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(final Channel channel) {
+                channel.pipeline()
+                        .addLast(
+                                new HttpClientCodec(),
+                                new HttpObjectAggregator(mMaximumBytes),
+                                new Handler());
+            }
+        };
+    }
+
+    private void write(final String target) {
+        final DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target);
+        request.headers()
+                .set(HttpHeaderNames.HOST, mAddress.getHostString() + ":" + mAddress.getPort());
+        mChannel.writeAndFlush(request);
+    }
+
+    private void fail(final String reason) {
+        final Callback callback = take();
+        if (mChannel != null) {
+            mChannel.close();
+            mChannel = null;
+        }
+        if (callback != null) {
+            callback.onFailure(reason);
+        }
+    }
+
+    private Callback take() {
+        final Callback callback = mCallback;
+        mCallback = null;
+        if (mTimeout != null) {
+            mTimeout.cancel(false);
+            mTimeout = null;
+        }
+        return callback;
+    }
+
+    /** Receives the answers of one connection. */
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(
+                final ChannelHandlerContext context, final FullHttpResponse response) {
+            if (context.channel() != mChannel) {
+                return;
+            }
+            if (response.decoderResult().isFailure()) {
+                fail("the answer is malformed");
+                return;
+            }
+            if (!HttpUtil.isKeepAlive(response)) {
+                mChannel.close();
+                mChannel = null;
+            }
+            final Callback callback = take();
+            if (callback != null) {
+                callback.onAnswer(
+                        response.status().code(), ByteBufUtil.getBytes(response.content()));
+            }
+        }
+
+        @Override
+        public void channelInactive(final ChannelHandlerContext context) {
+            if (context.channel() == mChannel) {
+                fail("the connection was closed");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            if (context.channel() == mChannel) {
+                fail(String.valueOf(cause.getMessage()));
+            }
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured records of decisions and of changes of belief. */
+package io.persimmonreel.daemon.log;
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -48,12 +48,16 @@
                     PeerMessage.ExplainRequest.class,
                     PeerMessage.ExplainReply.class,
                     PeerMessage.Leaving.class,
-                    PeerMessage.MemberGossip.class);
+                    PeerMessage.MemberGossip.class,
+                    PeerMessage.RelayDigest.class,
+                    PeerMessage.DirectoryRequest.class,
+                    PeerMessage.DirectoryCopy.class);
 
     private static final List<Class<? extends Record>> NESTED =
             List.of(
                     PeerMessage.PeerLoad.class,
                     PeerMessage.MemberNews.class,
+                    PeerMessage.ReplicaWork.class,
                     RequestIdentity.class,
                     DecisionRecord.class);
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -21,6 +22,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -41,7 +43,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
     /** Heartbeats come every 500 ms; a connection without any frame for this long is dead. */
-    private static final int READ_IDLE_SECONDS = 10;
+    private static final Duration READ_IDLE = Duration.ofSeconds(10);
 
     private static final int IO_THREADS = 2;
 
@@ -51,7 +53,9 @@
     private final PeerListener mListener;
     private final LinkPolicy mPolicy;
     private final PeerCodec mCodec = new PeerCodec();
-    private final NioEventLoopGroup mGroup = new NioEventLoopGroup(IO_THREADS);
+    private final EventLoopGroup mGroup;
+    private final boolean mOwnsGroup;
+    private final Duration mReadIdle;
     private final Map<Incarnation, PeerConnection> mConnections = new ConcurrentHashMap<>();
     private final Map<InetSocketAddress, Channel> mDialled = new ConcurrentHashMap<>();
     private final Map<InetSocketAddress, Incarnation> mReached = new ConcurrentHashMap<>();
@@ -75,6 +79,49 @@
             final List<byte[]> secrets,
             final PeerListener listener,
             final LinkPolicy policy) {
+        this(
+                self,
+                fleet,
+                secrets,
+                listener,
+                policy,
+                new NioEventLoopGroup(IO_THREADS),
+                true,
+                READ_IDLE);
+    }
+
+    /**
+     * Creates a transport that shares the threads of another part.
+     *
+     * @param self this daemon
+     * @param fleet the fleet's name
+     * @param secrets the fleet secrets, of which the first is proved and any is accepted
+     * @param listener receives events
+     * @param group the threads, which are not stopped with the transport
+     * @param readIdle the time without any frame after which a connection is closed
+     */
+    public PeerTransport(
+            final PeerIdentity self,
+            final String fleet,
+            final List<byte[]> secrets,
+            final PeerListener listener,
+            final EventLoopGroup group,
+            final Duration readIdle) {
+        this(self, fleet, secrets, listener, LinkPolicy.ALLOW_ALL, group, false, readIdle);
+    }
+
+    private PeerTransport(
+            final PeerIdentity self,
+            final String fleet,
+            final List<byte[]> secrets,
+            final PeerListener listener,
+            final LinkPolicy policy,
+            final EventLoopGroup group,
+            final boolean ownsGroup,
+            final Duration readIdle) {
+        mGroup = group;
+        mOwnsGroup = ownsGroup;
+        mReadIdle = readIdle;
         mSelf = Objects.requireNonNull(self, "self");
         mFleet = Objects.requireNonNull(fleet, "fleet");
         mSecrets = List.copyOf(secrets);
@@ -178,7 +225,9 @@
             server.close();
         }
         mConnections.values().forEach(PeerConnection::close);
-        mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        if (mOwnsGroup) {
+            mGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
     }
 
     void onAuthenticated(final PeerConnection connection) {
@@ -233,7 +282,8 @@
                 if (tls != null) {
                     pipeline.addLast(tls.handler(client, channel.alloc()));
                 }
-                pipeline.addLast(new IdleStateHandler(READ_IDLE_SECONDS, 0, 0));
+                pipeline.addLast(
+                        new IdleStateHandler(mReadIdle.toMillis(), 0, 0, TimeUnit.MILLISECONDS));
                 pipeline.addLast(
                         new LengthFieldBasedFrameDecoder(
                                 PeerCodec.MAXIMUM_FRAME_BYTES + LENGTH_BYTES,
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/EventSplitter.java
@@ -0,0 +1,139 @@
+package io.persimmonreel.daemon.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Cuts an event stream into whole events, so that a stream that breaks off inside an event can be
+ * continued from the last whole one. Not thread safe.
+ */
+final class EventSplitter {
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+    /** An event of a replica is far smaller; a longer one is malformed. */
+    private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+
+    private final ByteBuf mPending = Unpooled.buffer(256);
+    private String mLastId;
+    private int mEvents;
+    private String mSkipThrough;
+
+    /**
+     * Creates a splitter.
+     *
+     * @param lastId the id of the last event that was forwarded, null for a new stream
+     */
+    EventSplitter(final String lastId) {
+        mLastId = lastId;
+    }
+
+    /** Prepares for the stream of another replica, which goes on after the last whole event. */
+    void restart() {
+        mPending.clear();
+        mSkipThrough = mLastId;
+    }
+
+    /**
+     * Takes bytes and returns the whole events that they complete.
+     *
+     * @param bytes the next bytes, which are read and not released
+     * @return whole events, or an empty buffer
+     * @throws RelayException if an event is too long
+     */
+    ByteBuf split(final ByteBuf bytes) throws RelayException {
+        if (mPending.readableBytes() + bytes.readableBytes() > MAXIMUM_EVENT_BYTES) {
+            throw new RelayException("an event exceeds " + MAXIMUM_EVENT_BYTES + " bytes");
+        }
+        mPending.writeBytes(bytes);
+        final ByteBuf whole = Unpooled.buffer(mPending.readableBytes());
+        int end = endOfEvent(mPending);
+        while (end >= 0) {
+            final int start = mPending.readerIndex();
+            final String id = idOf(mPending, start, end);
+            if (!isRepeated(id)) {
+                whole.writeBytes(mPending, start, end - start);
+                mEvents++;
+                if (id != null) {
+                    mLastId = id;
+                }
+            }
+            mPending.readerIndex(end);
+            end = endOfEvent(mPending);
+        }
+        mPending.discardReadBytes();
+        return whole;
+    }
+
+    /** Tells whether bytes of an event that is not whole wait. */
+    boolean hasPartialEvent() {
+        return mPending.isReadable();
+    }
+
+    /** Returns the id of the last whole event, null if there was none. */
+    String lastId() {
+        return mLastId;
+    }
+
+    /** Returns the number of whole events. */
+    int events() {
+        return mEvents;
+    }
+
+    /** A replica that goes on too early repeats events that the caller has. */
+    private boolean isRepeated(final String id) {
+        if (mSkipThrough == null || id == null) {
+            return false;
+        }
+        try {
+            return Long.parseLong(id) <= Long.parseLong(mSkipThrough);
+        } catch (final NumberFormatException e) {
+            return id.equals(mSkipThrough);
+        }
+    }
+
+    /** Returns the index after the blank line that ends the first event, or -1. */
+    private static int endOfEvent(final ByteBuf buffer) {
+        int lineStart = buffer.readerIndex();
+        final int limit = buffer.writerIndex();
+        while (lineStart < limit) {
+            final int lineEnd = buffer.indexOf(lineStart, limit, (byte) '\n');
+            if (lineEnd < 0) {
+                return -1;
+            }
+            final boolean blank =
+                    lineEnd == lineStart
+                            || lineEnd == lineStart + 1 && buffer.getByte(lineStart) == '\r';
+            if (blank) {
+                return lineEnd + 1;
+            }
+            lineStart = lineEnd + 1;
+        }
+        return -1;
+    }
+
+    private static String idOf(final ByteBuf buffer, final int start, final int end) {
+        int lineStart = start;
+        while (lineStart < end) {
+            final int lineEnd = buffer.indexOf(lineStart, end, (byte) '\n');
+            if (startsWithId(buffer, lineStart, lineEnd)) {
+                final int from = lineStart + ID_FIELD.length;
+                return buffer.toString(from, lineEnd - from, StandardCharsets.US_ASCII).trim();
+            }
+            lineStart = lineEnd + 1;
+        }
+        return null;
+    }
+
+    private static boolean startsWithId(final ByteBuf buffer, final int from, final int to) {
+        if (to - from < ID_FIELD.length) {
+            return false;
+        }
+        for (int i = 0; i < ID_FIELD.length; i++) {
+            if (buffer.getByte(from + i) != ID_FIELD[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayRefusal.java
@@ -0,0 +1,11 @@
+package io.persimmonreel.daemon.relay;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/**
+ * Holds the status and the reason of a refusal.
+ *
+ * @param status the status
+ * @param reason the reason, one short sentence
+ */
+record RelayRefusal(HttpResponseStatus status, String reason) {}
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -0,0 +1,137 @@
+package io.persimmonreel.daemon.relay;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.persimmonreel.daemon.settings.SettingsException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Holds the settings of a relay.
+ *
+ * @param name the name of the daemon
+ * @param zone the availability zone
+ * @param callerAddress where callers connect
+ * @param readinessAddress where the platform asks whether the daemon is ready
+ * @param peerAddress where other daemons connect
+ * @param metricsAddress where metrics are read
+ * @param seeds addresses of other daemons to try at start
+ * @param directoryAddress where the directory is read
+ * @param grace the time between the request to stop and the end of the process
+ * @param drain the time within which a replica that leaves gets no new requests
+ * @param retryRatio the retries that each request earns for the fleet
+ * @param retrySlack the retries that the fleet may make in a window beyond that
+ * @param deliverySlack the delay that an event of a stream may have
+ */
+public record RelaySettings(
+        String name,
+        String zone,
+        InetSocketAddress callerAddress,
+        InetSocketAddress readinessAddress,
+        InetSocketAddress peerAddress,
+        InetSocketAddress metricsAddress,
+        List<InetSocketAddress> seeds,
+        InetSocketAddress directoryAddress,
+        Duration grace,
+        Duration drain,
+        double retryRatio,
+        double retrySlack,
+        Duration deliverySlack) {
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+
+    /** Copies the list of seeds. */
+    public RelaySettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * Reads a settings file.
+     *
+     * @param file a JSON file
+     * @return the settings
+     * @throws SettingsException if the file can't be read or a field is missing or malformed
+     */
+    public static RelaySettings read(final Path file) throws SettingsException {
+        final JsonNode root;
+        try {
+            root = MAPPER.readTree(Files.readAllBytes(file));
+        } catch (final IOException e) {
+            throw new SettingsException(file.toString(), e.toString());
+        }
+        if (root == null || !root.isObject()) {
+            throw new SettingsException(file.toString(), "the settings are not an object");
+        }
+        final Reader reader = new Reader(file, root);
+        final InetSocketAddress peer = reader.address("peerAddress");
+        return new RelaySettings(
+                reader.text("name"),
+                reader.text("zone"),
+                reader.address("callerAddress"),
+                reader.address("readinessAddress"),
+                peer,
+                reader.address("metricsAddress"),
+                reader.addresses("seeds"),
+                reader.address("directoryAddress"),
+                Duration.ofMillis((long) (reader.number("graceSeconds") * 1_000)),
+                Duration.ofMillis((long) reader.number("drainMillis")),
+                reader.number("retryRatio"),
+                reader.number("retrySlack"),
+                Duration.ofMillis((long) reader.number("deliverySlackMillis")));
+    }
+
+    /** Reads fields and names the field in errors. */
+    private record Reader(Path file, JsonNode root) {
+        String text(final String field) throws SettingsException {
+            final JsonNode node = root.get(field);
+            if (node == null || !node.isTextual() || node.asText().isEmpty()) {
+                throw new SettingsException(file + ": " + field, "a text is needed");
+            }
+            return node.asText();
+        }
+
+        double number(final String field) throws SettingsException {
+            final JsonNode node = root.get(field);
+            if (node == null || !node.isNumber() || node.asDouble() < 0) {
+                throw new SettingsException(
+                        file + ": " + field, "a number of at least 0 is needed");
+            }
+            return node.asDouble();
+        }
+
+        InetSocketAddress address(final String field) throws SettingsException {
+            return parse(field, text(field));
+        }
+
+        List<InetSocketAddress> addresses(final String field) throws SettingsException {
+            final List<InetSocketAddress> addresses = new ArrayList<>();
+            final JsonNode node = root.get(field);
+            if (node == null || !node.isArray()) {
+                throw new SettingsException(file + ": " + field, "a list is needed");
+            }
+            for (final JsonNode element : node) {
+                addresses.add(parse(field, element.asText()));
+            }
+            return addresses;
+        }
+
+        private InetSocketAddress parse(final String field, final String text)
+                throws SettingsException {
+            final int colon = text.lastIndexOf(':');
+            try {
+                return new InetSocketAddress(
+                        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+            } catch (final IndexOutOfBoundsException | IllegalArgumentException e) {
+                throw new SettingsException(
+                        file + ": " + field, "HOST:PORT is needed, not " + text);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaHead.java
@@ -0,0 +1,10 @@
+package io.persimmonreel.daemon.relay;
+
+/**
+ * Holds what a replica says of its answer.
+ *
+ * @param attemptId the id of the attempt that is answered, null if missing
+ * @param notRun whether the replica states that it did not run the request
+ * @param load running and waiting requests at the replica, negative if not said
+ */
+public record ReplicaHead(String attemptId, boolean notRun, int load) {}
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestCheck.java
@@ -0,0 +1,40 @@
+package io.persimmonreel.daemon.relay;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.persimmonreel.core.route.CallerLimits;
+
+/** Refuses heads that replicas could read in another way than this daemon. */
+final class RequestCheck {
+    private RequestCheck() {}
+
+    /**
+     * Checks a head.
+     *
+     * @param request the head
+     * @param limits the bounds on callers
+     * @return the refusal, null if the head is proper
+     */
+    static RelayRefusal refusal(final HttpRequest request, final CallerLimits limits) {
+        final HttpHeaders headers = request.headers();
+        if (!request.uri().startsWith("/")) {
+            return new RelayRefusal(HttpResponseStatus.BAD_REQUEST, "the target is not a path");
+        }
+        if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
+            return new RelayRefusal(HttpResponseStatus.BAD_REQUEST, "one Host is needed");
+        }
+        if (headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).size() > 1
+                || HttpUtil.isTransferEncodingChunked(request)
+                        && headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            return new RelayRefusal(HttpResponseStatus.BAD_REQUEST, "the length is ambiguous");
+        }
+        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+            return new RelayRefusal(
+                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+        }
+        return null;
+    }
+}
