--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CrashSuspects.java
@@ -0,0 +1,87 @@
+package io.persimmonreel.daemon.relay;
+
+import io.netty.buffer.ByteBufUtil;
+import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
+import io.persimmonreel.core.quarantine.Fingerprint;
+import io.persimmonreel.core.quarantine.Quarantine;
+import io.persimmonreel.core.quarantine.QuarantineDecision;
+import io.persimmonreel.core.replica.Replica;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Keeps content that crashes replicas away from them. Not thread safe. */
+final class CrashSuspects {
+    private final Quarantine mQuarantine = new Quarantine();
+    private Consumer<QuarantineNotice> mNotices = notice -> {};
+
+    /** Sets who spreads evidence to other daemons. */
+    void onNotices(final Consumer<QuarantineNotice> notices) {
+        mNotices = notices;
+    }
+
+    void onNotice(final QuarantineNotice notice, final long nowNanos) {
+        mQuarantine.onNotice(notice, nowNanos);
+    }
+
+    boolean isStopped(final RelayCall call, final long nowNanos) {
+        return !mQuarantine.isEmpty()
+                && mQuarantine.decision(fingerprint(call), nowNanos).kind()
+                        == QuarantineDecision.Kind.QUARANTINED;
+    }
+
+    /** Returns the replicas that an attempt must not be sent to. */
+    Set<String> excluded(final RelayCall call, final long nowNanos) {
+        if (mQuarantine.isEmpty()) {
+            return call.excluded();
+        }
+        final Set<String> excluded = new HashSet<>(call.excluded());
+        excluded.addAll(mQuarantine.decision(fingerprint(call), nowNanos).excludedReplicas());
+        return excluded;
+    }
+
+    void onSent(final RelayCall call) {
+        if (!mQuarantine.isEmpty()) {
+            mQuarantine.onDispatched(fingerprint(call), call.replica().entry().id());
+        }
+    }
+
+    void onAnswered(final RelayCall call, final long nowNanos) {
+        if (!mQuarantine.isEmpty()) {
+            mQuarantine
+                    .onCompleted(fingerprint(call), call.replica().entry().id(), true, nowNanos)
+                    .forEach(mNotices);
+        }
+    }
+
+    /** Reports that a replica crashed while attempts ran on it. */
+    void onCrash(final Replica replica, final Collection<RelayCall> running, final long nowNanos) {
+        final List<Fingerprint> contents =
+                running.stream().map(CrashSuspects::fingerprint).toList();
+        mQuarantine.onCrash(replica.entry().id(), contents, nowNanos).forEach(mNotices);
+    }
+
+    void onTimer(final long nowNanos) {
+        mQuarantine.onTimer(nowNanos);
+    }
+
+    /** The same path, customer, prompt and body are the same content. */
+    private static Fingerprint fingerprint(final RelayCall call) {
+        final byte[] head =
+                (call.task().request().request().uri()
+                                + '\n'
+                                + call.task().customerName()
+                                + '\n'
+                                + call.task().work().sessionHash()
+                                + '\n')
+                        .getBytes(StandardCharsets.UTF_8);
+        final byte[] body = ByteBufUtil.getBytes(call.task().request().body());
+        final byte[] all = new byte[head.length + body.length];
+        System.arraycopy(head, 0, all, 0, head.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        return Fingerprint.of(call.task().upstream(), all);
+    }
+}
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
@@ -165,7 +165,7 @@
         } else if (message instanceof DirectoryCopy copy) {
             mWatch.onCopy(copy);
         } else if (message instanceof QuarantineNotice notice) {
-            mService.quarantine().onNotice(notice, now);
+            mService.suspects().onNotice(notice, now);
             mLog.event("quarantine", "told")
                     .put("digest", notice.digest())
                     .put("replicas", notice.replicas().size())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -8,15 +8,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.persimmonreel.core.admission.Admission;
 import io.persimmonreel.core.placement.Placement.Choice;
-import io.persimmonreel.core.placement.WorkSize;
 import io.persimmonreel.core.replica.Replica;
-import io.persimmonreel.core.route.RelayCustomer;
-import io.persimmonreel.core.route.Route;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Carries one attempt of a caller from its arrival to its final answer.
@@ -28,16 +23,8 @@
     /** Larger plain answers are passed on while they arrive. */
     private static final int MAXIMUM_HELD_ANSWER_BYTES = 256 * 1024;
 
-    private static final double NANOS_PER_MILLI = 1e6;
-
+    private final RelayTask mTask;
     private final CallerRequest mRequest;
-    private final Route mRoute;
-    private final String mUpstream;
-    private final RelayCustomer mCustomer;
-    private final long mUnits;
-    private final WorkSize mWork;
-    private final double mWaitedBefore;
-    private final long mDeadlineNanos;
     private final RelayService mService;
     private final Set<String> mExcluded = new HashSet<>();
     private Phase mPhase = Phase.WAITING;
@@ -45,15 +32,8 @@
     private int mSends;
     private boolean mMayHaveRun;
     private boolean mCallerGone;
-    private boolean mStallNoted;
-    private Replica mReplica;
-    private Choice mChoice;
+    private Sending mSending;
     private UpstreamConnection mConnection;
-    private boolean mCounted;
-    private boolean mPrefillCounted;
-    private long mSentNanos;
-    private long mFirstNanos;
-    private long mLastEventNanos;
     private HttpResponse mHead;
     private ByteBuf mHeld = Unpooled.EMPTY_BUFFER;
     private EventSplitter mSplitter;
@@ -80,63 +60,17 @@
     /**
      * Creates an attempt.
      *
-     * @param request the caller's request
-     * @param route its route
-     * @param upstream the upstream that serves it
-     * @param customer the customer, null if the route needs no key
-     * @param units the units that were taken from the customer's quota
-     * @param work the work for a replica
-     * @param waitedBeforeMillis the time since the caller's first attempt, in milliseconds
-     * @param deadlineNanos when the attempt ends at the latest, by the monotonic clock
-     * @param service the service that the attempt belongs to
+     * @param task what is fixed about it
+     * @param service the service that it belongs to
      */
-    RelayCall(
-            final CallerRequest request,
-            final Route route,
-            final String upstream,
-            final RelayCustomer customer,
-            final long units,
-            final WorkSize work,
-            final double waitedBeforeMillis,
-            final long deadlineNanos,
-            final RelayService service) {
-        mRequest = request;
-        mRoute = route;
-        mUpstream = upstream;
-        mCustomer = customer;
-        mUnits = units;
-        mWork = work;
-        mWaitedBefore = waitedBeforeMillis;
-        mDeadlineNanos = deadlineNanos;
+    RelayCall(final RelayTask task, final RelayService service) {
+        mTask = task;
+        mRequest = task.request();
         mService = service;
     }
 
-    CallerRequest request() {
-        return mRequest;
-    }
-
-    String id() {
-        return mRequest.head().attemptId();
-    }
-
-    Route route() {
-        return mRoute;
-    }
-
-    String upstream() {
-        return mUpstream;
-    }
-
-    RelayCustomer customer() {
-        return mCustomer;
-    }
-
-    long units() {
-        return mUnits;
-    }
-
-    WorkSize work() {
-        return mWork;
+    RelayTask task() {
+        return mTask;
     }
 
     Set<String> excluded() {
@@ -147,8 +81,14 @@
         return mPhase;
     }
 
+    /** Returns the replica of the last send, null before the first. */
     Replica replica() {
-        return mReplica;
+        return mSending == null ? null : mSending.replica();
+    }
+
+    /** Returns the last send, null before the first. */
+    Sending sending() {
+        return mSending;
     }
 
     int sends() {
@@ -163,57 +103,20 @@
         return mMayHaveRun;
     }
 
-    boolean isReturned() {
-        return mWaitedBefore > 0;
-    }
-
     boolean hasStarted() {
         return mHeadForwarded;
     }
 
-    int rank() {
-        return mCustomer == null ? mRoute.rank() : mCustomer.rank().orElse(mRoute.rank());
-    }
-
-    double millisLeft(final long nowNanos) {
-        return (mDeadlineNanos - nowNanos) / NANOS_PER_MILLI;
-    }
-
-    double waitedMillis(final long nowNanos) {
-        return (nowNanos - mRequest.arrivedNanos()) / NANOS_PER_MILLI;
-    }
-
-    /** Returns the time until the first event is late, in milliseconds, negative if it is late. */
-    double objectiveLeft(final long nowNanos) {
-        return mRoute.objectiveMillis() - mWaitedBefore - waitedMillis(nowNanos);
-    }
-
-    Admission.Applicant applicant(final long nowNanos) {
-        return new Admission.Applicant(
-                mRoute.objectiveMillis(),
-                mWaitedBefore + waitedMillis(nowNanos),
-                millisLeft(nowNanos),
-                isReturned());
-    }
-
     /** Sends the attempt to the chosen replica. */
     void send(final Choice choice) {
         mPhase = Phase.CONNECTING;
-        mChoice = choice;
-        mReplica = choice.replica();
         mSends++;
-        mStallNoted = false;
-        mCounted = true;
-        mPrefillCounted = true;
-        mReplica.onSent(choice.prefillTokens());
-        mSentNanos = mService.nowNanos();
-        mFirstNanos = 0;
-        mLastEventNanos = mSentNanos;
+        mSending = new Sending(choice, mService.nowNanos());
         final int send = mSends;
-        final boolean fresh = !mRoute.repeat().isRepeatable();
+        final boolean fresh = !mTask.route().repeat().isRepeatable();
         mService.connections()
                 .acquire(
-                        mReplica,
+                        replica(),
                         fresh,
                         (connection, failure) -> {
                             if (mPhase != Phase.CONNECTING || mSends != send) {
@@ -230,8 +133,8 @@
     void onCallerGone() {
         mCallerGone = true;
         final boolean runsOn =
-                !mRoute.repeat().isRepeatable()
-                        && !mRoute.repeat().isStream()
+                !mTask.route().repeat().isRepeatable()
+                        && !mTask.route().repeat().isStream()
                         && mPhase != Phase.WAITING
                         && mPhase != Phase.CONNECTING;
         if (!runsOn) {
@@ -250,7 +153,7 @@
     /** Stops waiting for the present replica and counts what it was sent as possibly run. */
     void abandonReplica() {
         mMayHaveRun = true;
-        mExcluded.add(mReplica.entry().id());
+        mExcluded.add(replica().entry().id());
         cancelExchange();
         mPhase = Phase.WAITING;
     }
@@ -276,7 +179,7 @@
     @Override
     public void onHead(final HttpResponse response, final ReplicaHead head) {
         if (head.load() >= 0) {
-            mReplica.onObservedLoad(head.load(), mService.nowNanos());
+            replica().onObservedLoad(head.load(), mService.nowNanos());
         }
         mHead = response;
         final boolean misdirected = response.status().code() == 421;
@@ -337,8 +240,8 @@
         release();
         mService.onReplicaFailed(this, reason);
         mMayHaveRun |= !untouched;
-        mExcluded.add(mReplica.entry().id());
-        final boolean resendable = untouched || mRoute.repeat().isRepeatable();
+        mExcluded.add(replica().entry().id());
+        final boolean resendable = untouched || mTask.route().repeat().isRepeatable();
         if (mCallerGone) {
             done();
         } else if (resendable && mService.mayResend(this, untouched)) {
@@ -359,7 +262,10 @@
         if (mSplitter != null) {
             mSplitter.restart();
         }
-        connection.send(id(), mService.upstreamRequest(this, resumeAfter), this);
+        connection.send(
+                mTask.id(),
+                mService.requests().build(this, resumeAfter, mService.nowNanos()),
+                this);
     }
 
     private void returnUnused(final UpstreamConnection connection) {
@@ -370,7 +276,7 @@
 
     private void onUnreachable(final String reason) {
         release();
-        mExcluded.add(mReplica.entry().id());
+        mExcluded.add(replica().entry().id());
         mService.onReplicaUnreachable(this, reason);
         mPhase = Phase.WAITING;
         mService.resend(this, "unreachable", reason);
@@ -383,7 +289,7 @@
             mConnection = null;
         }
         release();
-        mExcluded.add(mReplica.entry().id());
+        mExcluded.add(replica().entry().id());
         if (misdirected) {
             mAttempts--;
         }
@@ -403,7 +309,7 @@
 
     private boolean isEventStream(final HttpResponse response) {
         final String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
-        return mRoute.repeat().isStream()
+        return mTask.route().repeat().isStream()
                 && response.status().codeClass() == HttpStatusClass.SUCCESS
                 && type != null
                 && type.startsWith(HttpHeaderValues.TEXT_EVENT_STREAM.toString());
@@ -421,11 +327,9 @@
             whole.release();
             return;
         }
-        final long now = mService.nowNanos();
-        if (mFirstNanos == 0) {
-            onFirstEvent(now);
+        if (mSending.onEvent(mService.nowNanos())) {
+            mService.onFirstEvent(this);
         }
-        mLastEventNanos = now;
         if (mCallerGone) {
             whole.release();
             return;
@@ -437,12 +341,6 @@
         mRequest.connection().stream(whole);
     }
 
-    private void onFirstEvent(final long now) {
-        mFirstNanos = now;
-        releasePrefill();
-        mService.onFirstEvent(this, mChoice, (now - mSentNanos) / NANOS_PER_MILLI);
-    }
-
     private void onStreamEnd() {
         if (!mHeadForwarded && !mCallerGone) {
             mHeadForwarded = true;
@@ -456,15 +354,9 @@
     }
 
     private void succeed() {
-        final long now = mService.nowNanos();
-        final long from = mFirstNanos == 0 ? mSentNanos : mFirstNanos;
-        mReplica.onServed(Math.max(1.0, (now - from) / NANOS_PER_MILLI));
+        mSending.onServed(mService.nowNanos());
         release();
-        mService.onSucceeded(
-                this,
-                mHead.status(),
-                mSplitter == null ? 0 : mSplitter.events(),
-                (mLastEventNanos - mFirstNanos) / NANOS_PER_MILLI);
+        mService.onSucceeded(this, mHead.status(), mSplitter == null ? 0 : mSplitter.events());
     }
 
     private void hold(final ByteBuf bytes) {
@@ -496,9 +388,9 @@
         mService.onReplicaError(this, status);
         if (mCallerGone) {
             done();
-        } else if (mRoute.repeat().isRepeatable() && mService.mayResend(this, false)) {
+        } else if (mTask.route().repeat().isRepeatable() && mService.mayResend(this, false)) {
             mMayHaveRun = true;
-            mExcluded.add(mReplica.entry().id());
+            mExcluded.add(replica().entry().id());
             mPhase = Phase.WAITING;
             mService.resend(this, "error", "the replica answered " + status.code());
         } else if (isPromiseNotRun(status)) {
@@ -540,45 +432,16 @@
     }
 
     private void release() {
-        if (mCounted) {
-            releasePrefill();
-            mCounted = false;
-            mReplica.onEnded();
-        }
-    }
-
-    private void releasePrefill() {
-        if (mPrefillCounted) {
-            mPrefillCounted = false;
-            mReplica.onPrefilled(mChoice.prefillTokens());
+        if (mSending != null) {
+            mSending.release();
         }
     }
 
     private void done() {
         if (mPhase != Phase.DONE) {
             mPhase = Phase.DONE;
-            mRequest.release();
             mService.onDone(this);
+            mRequest.release();
         }
     }
-
-    /** Returns the time since the replica was last heard of for this attempt, in milliseconds. */
-    double silentMillis(final long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMicros(nowNanos - mLastEventNanos) / 1_000.0;
-    }
-
-    boolean hasEvents() {
-        return mFirstNanos != 0;
-    }
-
-    Choice choice() {
-        return mChoice;
-    }
-
-    /** Notes once for each send that the replica is silent. */
-    boolean noteStall() {
-        final boolean first = !mStallNoted;
-        mStallNoted = true;
-        return first;
-    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -41,6 +41,7 @@
 
     private static final Duration DIGEST_INTERVAL = Duration.ofMillis(200);
     private static final Duration DIAL_INTERVAL = Duration.ofMillis(500);
+    private static final Duration QUARANTINE_INTERVAL = Duration.ofSeconds(30);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
     /** Digests come every 200 ms; a connection without any for this time is dead. */
@@ -115,8 +116,7 @@
         mService =
                 new RelayService(
                         time,
-                        log,
-                        mMetrics,
+                        new RelayLog(log, mMetrics),
                         dialect,
                         new UpstreamConnections(mGroup.next(), dialect, time),
                         budget,
@@ -136,7 +136,7 @@
                 new PeerIdentity(new Incarnation(random.nextLong()), 1, settings.zone());
         mTransport =
                 new PeerTransport(self, FLEET, secret.accepted(), mNeighbours, mGroup, PEER_IDLE);
-        mService.onNotices(mNeighbours::broadcast);
+        mService.suspects().onNotices(mNeighbours::broadcast);
     }
 
     /**
@@ -220,6 +220,7 @@
         mNeighbours.start(mTransport);
         mTimers.every("relay", TICK, mService::onTimer);
         mTimers.every("digest", DIGEST_INTERVAL, mNeighbours::sendDigests);
+        mTimers.every("quarantine", QUARANTINE_INTERVAL, mService.suspects()::onTimer);
         mTimers.every("dial", DIAL_INTERVAL, now -> mNeighbours.dial());
         mTimers.every(
                 "callers",
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -0,0 +1,155 @@
+package io.persimmonreel.daemon.relay;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.persimmonreel.core.placement.Placement.Choice;
+import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.daemon.log.EventLog;
+
+/** Writes the decisions on relayed requests to the log and counts them in the metrics. */
+final class RelayLog {
+    private final EventLog mLog;
+    private final RelayMetrics mMetrics;
+
+    RelayLog(final EventLog log, final RelayMetrics metrics) {
+        mLog = log;
+        mMetrics = metrics;
+    }
+
+    /** Reports a request that was turned away before it had a route or a place in a queue. */
+    void turnedAway(
+            final CallerRequest request,
+            final HttpResponseStatus status,
+            final String reason,
+            final long configVersion,
+            final long returnMillis) {
+        mLog.event("request", "refused")
+                .put("id", request.head().attemptId())
+                .put("status", status.code())
+                .put("reason", reason)
+                .put("version", configVersion)
+                .put("return_ms", returnMillis)
+                .write();
+    }
+
+    /** Reports a request that was refused because no replica has room, or none can be used. */
+    void refused(
+            final RelayCall call,
+            final String reason,
+            final Choice best,
+            final double queueMillis,
+            final long returnMillis) {
+        mMetrics.onEnded(call.task().upstream(), call.task().rank(), "refused");
+        final EventLog.Line line =
+                mLog.event("request", "refused")
+                        .put("id", call.task().id())
+                        .put("route", call.task().route().name())
+                        .put("status", HttpResponseStatus.SERVICE_UNAVAILABLE.code())
+                        .put("reason", reason);
+        if (best != null) {
+            line.put("best", best.replica().entry().id())
+                    .put("load", Math.round(best.load()))
+                    .put("wait_ms", Math.round(best.waitMillis()));
+        }
+        line.put("queue_ms", Math.round(queueMillis)).put("return_ms", returnMillis).write();
+    }
+
+    void sent(
+            final RelayCall call, final Choice choice, final int candidates, final long nowNanos) {
+        mMetrics.onSent(
+                call.task().upstream(),
+                call.task().rank(),
+                nowNanos - call.task().request().arrivedNanos());
+        mLog.routine("request", "sent")
+                .put("id", call.task().id())
+                .put("route", call.task().route().name())
+                .put("replica", choice.replica().entry().id())
+                .put("load", Math.round(choice.load()))
+                .put("candidates", candidates)
+                .put("first_ms", Math.round(choice.firstMillis()))
+                .put("prefill", choice.prefillTokens())
+                .put("queued_ms", Math.round(call.task().waitedMillis(nowNanos)))
+                .put("left_ms", Math.round(call.task().millisLeft(nowNanos)))
+                .write();
+    }
+
+    void resent(final RelayCall call, final String kind, final String reason, final double budget) {
+        mMetrics.onResend(call.task().upstream(), kind);
+        mLog.event("request", "resent")
+                .put("id", call.task().id())
+                .put("kind", kind)
+                .put("reason", reason)
+                .put("replica", call.replica().entry().id())
+                .put("sends", call.sends())
+                .put("budget_left", Math.round(budget))
+                .write();
+    }
+
+    void firstEvent(final RelayCall call, final long nowNanos) {
+        mMetrics.onFirst(
+                call.task().upstream(),
+                call.task().rank(),
+                nowNanos - call.task().request().arrivedNanos());
+    }
+
+    void answered(
+            final RelayCall call,
+            final HttpResponseStatus status,
+            final int events,
+            final long nowNanos) {
+        mMetrics.onComplete(
+                call.task().upstream(),
+                call.task().rank(),
+                nowNanos - call.task().request().arrivedNanos());
+        mMetrics.onEnded(call.task().upstream(), call.task().rank(), "answered");
+        mLog.routine("request", "answered")
+                .put("id", call.task().id())
+                .put("status", status.code())
+                .put("replica", call.replica().entry().id())
+                .put("sends", call.sends())
+                .put("events", events)
+                .put("ms", Math.round(call.task().waitedMillis(nowNanos)))
+                .write();
+    }
+
+    void cancelled(final RelayCall call, final long nowNanos) {
+        mMetrics.onEnded(call.task().upstream(), call.task().rank(), "cancelled");
+        mLog.routine("request", "cancelled")
+                .put("id", call.task().id())
+                .put("phase", call.phase().name())
+                .put("replica", replicaId(call))
+                .put("ms", Math.round(call.task().waitedMillis(nowNanos)))
+                .write();
+    }
+
+    void failed(
+            final RelayCall call,
+            final HttpResponseStatus status,
+            final String reason,
+            final long nowNanos) {
+        mMetrics.onEnded(call.task().upstream(), call.task().rank(), "failed");
+        mLog.event("request", "failed")
+                .put("id", call.task().id())
+                .put("route", call.task().route().name())
+                .put("status", status.code())
+                .put("reason", reason)
+                .put("phase", call.phase().name())
+                .put("replica", replicaId(call))
+                .put("sends", call.sends())
+                .put("may_have_run", call.mayHaveRun())
+                .put("ms", Math.round(call.task().waitedMillis(nowNanos)))
+                .write();
+    }
+
+    void avoided(final Replica replica, final String reason) {
+        mLog.event("replica", "avoided")
+                .put("replica", replica.entry().id())
+                .put("reason", reason)
+                .put("failure_percent", Math.round(replica.health().failureRate() * 100))
+                .put("own_in_flight", replica.ownInFlight())
+                .write();
+    }
+
+    private static String replicaId(final RelayCall call) {
+        return call.replica() == null ? null : call.replica().entry().id();
+    }
+}
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/StallRule.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/StallRule.java
@@ -1,16 +1,9 @@
 package io.persimmonreel.daemon.relay;
 
-import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.route.Route;
 
 /** Decides how long a replica may be silent before it counts as failed for a request. */
 final class StallRule {
-    /** Prompts of this size show the speed of reading; shorter ones show the fixed cost. */
-    static final int LONG_PROMPT_TOKENS = 1_500;
-
-    /** A replica that fails this part of its requests may have crashed. */
-    static final double CRASH_RATE = 0.3;
-
     /** Predictions of the first event err by about this factor. */
     private static final double PREDICTION_FACTOR = 3.0;
 
@@ -27,16 +20,15 @@
      * Returns the limit of silence.
      *
      * @param route the route of the request
-     * @param choice what was predicted
-     * @param started whether the first event arrived
+     * @param sending the send, with what was predicted for it
      * @return milliseconds
      */
-    double limitMillis(final Route route, final Choice choice, final boolean started) {
-        if (started) {
+    double limitMillis(final Route route, final Sending sending) {
+        if (sending.hasEvents()) {
             return Math.max(LEAST_PAUSE_MILLIS, PAUSE_FACTOR * route.pauseObjectiveMillis());
         }
         return Math.max(
                 OBJECTIVE_FACTOR * route.objectiveMillis(),
-                PREDICTION_FACTOR * choice.firstMillis());
+                PREDICTION_FACTOR * sending.choice().firstMillis());
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingCalls.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingCalls.java
@@ -15,12 +15,12 @@
     private int mSize;
 
     void add(final RelayCall call) {
-        mByUpstream.computeIfAbsent(call.upstream(), name -> new ArrayList<>()).add(call);
+        mByUpstream.computeIfAbsent(call.task().upstream(), name -> new ArrayList<>()).add(call);
         mSize++;
     }
 
     void remove(final RelayCall call) {
-        final List<RelayCall> calls = mByUpstream.get(call.upstream());
+        final List<RelayCall> calls = mByUpstream.get(call.task().upstream());
         if (calls != null && calls.remove(call)) {
             mSize--;
         }
@@ -51,9 +51,9 @@
         final List<RelayCall> calls =
                 new ArrayList<>(mByUpstream.getOrDefault(upstream, List.of()));
         calls.sort(
-                Comparator.<RelayCall, Boolean>comparing(c -> c.objectiveLeft(nowNanos) <= 0)
-                        .thenComparingInt(RelayCall::rank)
-                        .thenComparingLong(c -> c.request().arrivedNanos()));
+                Comparator.<RelayCall, Boolean>comparing(c -> c.task().objectiveLeft(nowNanos) <= 0)
+                        .thenComparingInt(c -> c.task().rank())
+                        .thenComparingLong(c -> c.task().request().arrivedNanos()));
         return calls;
     }
 }
