--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -255,6 +255,7 @@
         mLeaving = true;
         mLeavingNanos = mTime.monotonicNanos();
         mLog.event("daemon", "leaving").put("active", mService.active()).write();
+        mService.leave(mLeavingNanos + mSettings.grace().minus(GRACE_MARGIN).toNanos());
         mListener.leave();
         mNeighbours.leave();
         mTimers.every("leave", LEAVE_CHECK, this::checkLeft);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.admission.Admission;
+import io.persimmonreel.core.admission.LeaveRule;
 import io.persimmonreel.core.placement.KeptParts;
 import io.persimmonreel.core.placement.Placement;
 import io.persimmonreel.core.placement.Placement.Choice;
@@ -26,6 +27,11 @@
     /** Service time of a replica without a sample, in milliseconds. */
     private static final double TYPICAL_SERVICE_MILLIS = 1_000;
 
+    /** Another daemon serves the caller of a leaving one at once. */
+    private static final long LEAVING_RETURN_MILLIS = 10;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final RelayService mService;
     private final RelayLog mLog;
     private final ReplicaSet mReplicas;
@@ -34,7 +40,9 @@
     private final KeptParts mKept = new KeptParts();
     private final Placement mPlacement;
     private final Admission mAdmission;
+    private final LeaveRule mLeaveRule = new LeaveRule();
     private final WaitingCalls mWaiting = new WaitingCalls();
+    private long mEndNanos = Long.MAX_VALUE;
 
     RelayScheduler(final RelayService service, final RelayLog log, final long seed) {
         mService = service;
@@ -46,6 +54,11 @@
         mAdmission = new Admission(seed + 1);
     }
 
+    /** Accepts from now on only what will be answered before the process ends. */
+    void leave(final long endNanos) {
+        mEndNanos = endNanos;
+    }
+
     /** Returns the number of waiting attempts. */
     int waiting() {
         return mWaiting.size();
@@ -112,6 +125,11 @@
                         choice.waitMillis(),
                         queueMillis);
         final boolean sent = call.sends() > 0;
+        if (!sent && !mLeaveRule.accepts(choice.totalMillis(), millisUntilEnd(now))) {
+            mLog.refused(call, "the daemon is leaving", choice, queueMillis, LEAVING_RETURN_MILLIS);
+            refuse(call, "the daemon is leaving", LEAVING_RETURN_MILLIS);
+            return true;
+        }
         switch (decision.kind()) {
             case SEND:
                 mWaiting.remove(call);
@@ -135,6 +153,10 @@
         }
     }
 
+    private double millisUntilEnd(final long now) {
+        return mEndNanos == Long.MAX_VALUE ? Double.MAX_VALUE : (mEndNanos - now) / NANOS_PER_MILLI;
+    }
+
     private boolean onNoReplica(final RelayCall call, final long now) {
         if (call.mayHaveRun() || call.hasStarted()) {
             mWaiting.remove(call);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -216,6 +216,11 @@
         mScheduler.placeAll();
     }
 
+    /** Accepts from now on only what will be answered before the process ends. */
+    void leave(final long endNanos) {
+        mScheduler.leave(endNanos);
+    }
+
     /** Ends what is left when the process has to end. */
     void abortAll() {
         for (final RelayCall call : List.copyOf(mActive)) {
