--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayRig.java
@@ -0,0 +1,286 @@
+package io.persimmonreel.daemon.relay;
+
+import io.persimmonreel.core.replica.ReplicaEntry;
+import io.persimmonreel.core.route.CallerLimits;
+import io.persimmonreel.core.route.RelayConfiguration;
+import io.persimmonreel.core.route.RelayCustomer;
+import io.persimmonreel.core.route.RepeatRule;
+import io.persimmonreel.core.route.Route;
+import io.persimmonreel.core.route.RouteTable;
+import io.persimmonreel.core.route.UpstreamPool;
+import io.persimmonreel.daemon.directory.DirectoryException;
+import io.persimmonreel.daemon.directory.DirectoryFormat;
+import io.persimmonreel.daemon.directory.DirectorySource;
+import io.persimmonreel.daemon.log.EventLog;
+import io.persimmonreel.daemon.settings.FleetSecret;
+import io.persimmonreel.daemon.time.SystemTimeSource;
+import io.persimmonreel.daemon.upstream.ScriptedUpstream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Runs a relay between a test and scripted replicas, over a directory in memory.
+ *
+ * <p>Routes: /lookup/ is idempotent, /charge/ runs at most once, /draft/ is a resumable stream and
+ * /notes/ a stream that can't be resumed. All belong to the upstream "app".
+ */
+final class RelayRig implements AutoCloseable {
+    static final String KEY = "key-of-acme";
+    private static final int WAIT_MILLIS = 5_000;
+
+    private final List<ScriptedUpstream> mReplicas = new ArrayList<>();
+    private final List<DirectorySource.Document> mDocuments = new CopyOnWriteArrayList<>();
+    private final ByteArrayOutputStream mLog = new ByteArrayOutputStream();
+    private final RelayDaemon mDaemon;
+    private volatile RelayConfiguration mConfiguration = configuration(1, 2, 0);
+
+    RelayRig(final int replicas) throws Exception {
+        this(replicas, Duration.ofSeconds(8));
+    }
+
+    RelayRig(final int replicas, final Duration grace) throws Exception {
+        mDocuments.add(document("config", ""));
+        for (int i = 0; i < replicas; i++) {
+            final ScriptedUpstream replica = new ScriptedUpstream(true);
+            mReplicas.add(replica);
+            mDocuments.add(document("replica/r" + i, "127.0.0.1:" + replica.port()));
+        }
+        final SystemTimeSource time = new SystemTimeSource();
+        mDaemon =
+                new RelayDaemon(
+                        settings(grace),
+                        new FleetSecret("secret".getBytes(StandardCharsets.UTF_8)),
+                        new NativeDialect(),
+                        new MemoryFormat(),
+                        (loop, address) -> new MemorySource(),
+                        time,
+                        new EventLog("test", time, new PrintStream(mLog, true)));
+        mDaemon.start();
+        await(this::isReady);
+    }
+
+    ScriptedUpstream replica(final int index) {
+        return mReplicas.get(index);
+    }
+
+    RelayDaemon daemon() {
+        return mDaemon;
+    }
+
+    String log() {
+        return mLog.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Sends a request on a new connection and returns the whole answer until it ends. */
+    String call(final String method, final String path, final String headers, final String body)
+            throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, method, path, headers + "Connection: close\r\n", body);
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    Socket connect() throws IOException {
+        final Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), mDaemon.callerAddress().getPort());
+        socket.setSoTimeout(WAIT_MILLIS);
+        return socket;
+    }
+
+    static void send(
+            final Socket socket,
+            final String method,
+            final String path,
+            final String headers,
+            final String body)
+            throws IOException {
+        final String head =
+                method
+                        + " "
+                        + path
+                        + " HTTP/1.1\r\nHost: acme.example\r\nAuthorization: Bearer "
+                        + KEY
+                        + "\r\n"
+                        + headers
+                        + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
+                        + "\r\n";
+        socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    /** Reads until the text contains an expected part. */
+    static String readUntil(final Socket socket, final String part) throws IOException {
+        final StringBuilder text = new StringBuilder();
+        final InputStream in = socket.getInputStream();
+        while (text.indexOf(part) < 0) {
+            final int next = in.read();
+            if (next < 0) {
+                throw new IOException("ended after: " + text);
+            }
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+
+    static void await(final BooleanSupplier condition) throws InterruptedException {
+        final long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("the condition did not come true");
+            }
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        mDaemon.close();
+        for (final ScriptedUpstream replica : mReplicas) {
+            replica.close();
+        }
+    }
+
+    static RelayConfiguration configuration(
+            final long version, final int attempts, final double ratePerSecond) {
+        final List<Route> routes = new ArrayList<>();
+        routes.add(route("/lookup/", RepeatRule.IDEMPOTENT, attempts));
+        routes.add(route("/charge/", RepeatRule.AT_MOST_ONCE, attempts));
+        routes.add(route("/draft/", RepeatRule.RESUMABLE_STREAM, attempts));
+        routes.add(route("/notes/", RepeatRule.STREAM, attempts));
+        return new RelayConfiguration(
+                version,
+                new RouteTable(routes),
+                List.of(new UpstreamPool("app", "/health", 100, Optional.empty())),
+                new CallerLimits(4_096, 65_536, 1_000, 2_000),
+                List.of(
+                        new RelayCustomer(
+                                "acme",
+                                List.of(KEY),
+                                OptionalInt.empty(),
+                                ratePerSecond,
+                                ratePerSecond,
+                                false,
+                                1)));
+    }
+
+    private static Route route(final String prefix, final RepeatRule repeat, final int attempts) {
+        return new Route(
+                prefix,
+                "acme.example",
+                prefix,
+                repeat,
+                3_000,
+                400,
+                300,
+                0,
+                List.of(new Route.WeightedUpstream("app", 1)),
+                attempts,
+                false,
+                false);
+    }
+
+    private boolean isReady() {
+        try (Socket socket =
+                new Socket(
+                        InetAddress.getLoopbackAddress(), mDaemon.readinessAddress().getPort())) {
+            socket.setSoTimeout(WAIT_MILLIS);
+            socket.getOutputStream()
+                    .write(
+                            "GET /readyz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                                    .getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                    .startsWith("HTTP/1.1 200");
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    private static RelaySettings settings(final Duration grace) throws IOException {
+        final InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        final InetSocketAddress peer;
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            peer = new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+        }
+        return new RelaySettings(
+                "test",
+                "zone",
+                any,
+                any,
+                peer,
+                any,
+                List.of(),
+                any,
+                grace,
+                Duration.ofSeconds(2),
+                1.0,
+                50,
+                Duration.ofMillis(100));
+    }
+
+    private static DirectorySource.Document document(final String name, final String content) {
+        return new DirectorySource.Document(
+                name, Optional.of(content.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** Serves the documents once; they do not change. */
+    private final class MemorySource implements DirectorySource {
+        @Override
+        public void readAll(final Listener listener) {
+            listener.onDocuments(1, mDocuments);
+        }
+
+        @Override
+        public void watch(
+                final long afterRevision, final long waitMillis, final Listener listener) {
+            listener.onDocuments(afterRevision, List.of());
+        }
+    }
+
+    /** Names replicas by their ids and returns the rig's configuration. */
+    private final class MemoryFormat implements DirectoryFormat {
+        @Override
+        public boolean isConfiguration(final String name) {
+            return name.equals("config");
+        }
+
+        @Override
+        public boolean isReplica(final String name) {
+            return name.startsWith("replica/");
+        }
+
+        @Override
+        public RelayConfiguration readConfiguration(final String name, final byte[] content) {
+            return mConfiguration;
+        }
+
+        @Override
+        public ReplicaEntry readReplica(final String name, final byte[] content)
+                throws DirectoryException {
+            final String address = new String(content, StandardCharsets.UTF_8);
+            return new ReplicaEntry(
+                    name.substring("replica/".length()),
+                    "app",
+                    "127.0.0.1",
+                    Integer.parseInt(address.substring(address.indexOf(':') + 1)),
+                    "zone",
+                    4,
+                    false,
+                    1);
+        }
+    }
+}
