--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
@@ -191,6 +191,29 @@
         }
     }
 
+    /**
+     * Sends a message to all peers; it is encoded once.
+     *
+     * @param message the message
+     */
+    public void broadcast(final PeerMessage message) {
+        if (mConnections.isEmpty()) {
+            return;
+        }
+        final byte[] frame;
+        try {
+            frame = mCodec.encode((Record) message);
+        } catch (final PeerException e) {
+            LOG.log(Level.ERROR, "peer: Message was not sent. " + e.getMessage());
+            return;
+        }
+        for (final PeerConnection connection : mConnections.values()) {
+            if (!mPolicy.isAllowed(connection.peer().slot()) || !connection.sendFrame(frame)) {
+                mDropped.increment();
+            }
+        }
+    }
+
     /**
      * Returns the peers with an authenticated connection.
      *
