--- /dev/null
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -0,0 +1,161 @@
+package io.persimmonreel.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.persimmonreel.core.placement.WorkSize.PromptPart;
+import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.replica.ReplicaEntry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PlacementTest {
+    private static final int SLOTS = 10;
+    private final KeptParts mKept = new KeptParts();
+    private final Placement mPlacement = new Placement(mKept, 1);
+    private final List<Replica> mReplicas = new ArrayList<>();
+
+    PlacementTest() {
+        for (int i = 0; i < 5; i++) {
+            mReplicas.add(
+                    new Replica(
+                            new ReplicaEntry(
+                                    "r" + i, "llm", "10.0.0." + i, 80, "z", SLOTS, false, 1)));
+        }
+    }
+
+    private Replica choose(final WorkSize work, final double millisLeft) {
+        return mPlacement.choose(work, mReplicas, Set.of(), millisLeft, 0).orElseThrow().replica();
+    }
+
+    private static WorkSize session(final long hash) {
+        return new WorkSize(6_000, 300, List.of(new PromptPart(hash, 6_000)));
+    }
+
+    /** The load of sessions that come again: their prompts should not be read twice. */
+    @Nested
+    class Sessions {
+        @Test
+        void returnToTheReplicaThatHoldsTheirPrompt() {
+            for (long session = 1; session <= 50; session++) {
+                final Replica first = choose(session(session), 15_000);
+                mKept.onRead(session(session), first, 0);
+                assertThat(choose(session(session), 15_000)).isSameAs(first);
+            }
+        }
+
+        /** Daemons that never spoke agree on where a session's prompt is. */
+        @Test
+        void haveTheSameHomeOnAllDaemons() {
+            final Placement other = new Placement(new KeptParts(), 99);
+            int same = 0;
+            for (long session = 1; session <= 50; session++) {
+                final Replica here = choose(session(session), 15_000);
+                final Replica there =
+                        other.choose(session(session), mReplicas, Set.of(), 15_000, 0)
+                                .orElseThrow()
+                                .replica();
+                same += here == there ? 1 : 0;
+            }
+            assertThat(same).isEqualTo(50);
+        }
+
+        /** A session does not wait behind others only because its prompt is there. */
+        @Test
+        void leaveABusyHome() {
+            final Replica home = choose(session(7), 15_000);
+            for (int i = 0; i < 2 * SLOTS; i++) {
+                home.onSent(0);
+            }
+            assertThat(choose(session(7), 15_000)).isNotSameAs(home);
+        }
+    }
+
+    /** The load of unlike engines under outputs of very different length. */
+    @Nested
+    class UnlikeEngines {
+        @Test
+        void takeLongOutputsOnlyIfTheyCanEndThem() {
+            for (int i = 0; i < 4; i++) {
+                mReplicas.get(i).onTokenTime(12);
+            }
+            mReplicas.get(4).onTokenTime(2.5);
+            for (int i = 0; i < 6; i++) {
+                mReplicas.get(4).onSent(0);
+            }
+            assertThat(choose(new WorkSize(100, 3_000, List.of()), 15_000))
+                    .isSameAs(mReplicas.get(4));
+        }
+
+        /** Short requests leave the fast replica to those that need it. */
+        @Test
+        void shareShortOutputs() {
+            mReplicas.get(4).onTokenTime(2.5);
+            for (int i = 0; i < 4; i++) {
+                mReplicas.get(i).onTokenTime(8);
+            }
+            final Map<Replica, Integer> chosen = new HashMap<>();
+            for (int i = 0; i < 20; i++) {
+                final Replica replica = choose(new WorkSize(100, 20, List.of()), 3_000);
+                replica.onSent(100);
+                chosen.merge(replica, 1, Integer::sum);
+            }
+            assertThat(chosen.values()).allMatch(count -> count <= 7);
+            assertThat(chosen).hasSize(5);
+        }
+
+        /** A long prompt that was just sent is not followed by short ones. */
+        @Test
+        void keepShortRequestsFromQueueingBehindLongPrompts() {
+            mReplicas.forEach(replica -> replica.onPrefillTime(15));
+            mReplicas.get(0).onSent(50_000);
+            for (int i = 0; i < 20; i++) {
+                assertThat(choose(new WorkSize(100, 20, List.of()), 3_000))
+                        .isNotSameAs(mReplicas.get(0));
+            }
+        }
+    }
+
+    @Nested
+    class Failures {
+        @Test
+        void avoidEjectedReplicasWhileOthersRemain() {
+            for (int i = 0; i < 4; i++) {
+                mReplicas.get(i).health().onUnreachable(0);
+            }
+            for (int i = 0; i < 3 * SLOTS; i++) {
+                assertThat(choose(WorkSize.PLAIN, 1_000)).isSameAs(mReplicas.get(4));
+                mReplicas.get(4).onSent(0);
+            }
+        }
+
+        @Test
+        void leaveNoChoiceIfAllReplicasAreExcluded() {
+            assertThat(
+                            mPlacement.choose(
+                                    WorkSize.PLAIN,
+                                    mReplicas,
+                                    Set.of("r0", "r1", "r2", "r3", "r4"),
+                                    1_000,
+                                    0))
+                    .isEmpty();
+        }
+
+        @Test
+        void skipDrainingReplicas() {
+            for (int i = 1; i < 5; i++) {
+                final ReplicaEntry entry = mReplicas.get(i).entry();
+                mReplicas
+                        .get(i)
+                        .update(
+                                new ReplicaEntry(
+                                        entry.id(), "llm", "10.0.0.1", 80, "z", SLOTS, true, 1));
+            }
+            assertThat(choose(WorkSize.PLAIN, 1_000)).isSameAs(mReplicas.get(0));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/persimmonreel/core/retry/RetryBudgetTest.java
@@ -0,0 +1,48 @@
+package io.persimmonreel.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+    /** All daemons together stay within the share of requests and the slack of a window. */
+    @Test
+    void keepsTheFleetWithinItsBudget() {
+        final int daemons = 6;
+        int retries = 0;
+        for (int i = 0; i < daemons; i++) {
+            final RetryBudget budget = new RetryBudget(0.2, 52);
+            budget.configure(0.2, 52, daemons);
+            for (int request = 0; request < 100; request++) {
+                budget.onRequest("app");
+                while (budget.take("app")) {
+                    retries++;
+                }
+            }
+        }
+        assertThat(retries).isBetween(60, (int) (0.2 * 100 * daemons + 52));
+    }
+
+    @Test
+    void isKeptForEachUpstream() {
+        final RetryBudget budget = new RetryBudget(0.2, 4);
+        while (budget.take("a")) {
+            continue;
+        }
+        assertThat(budget.take("b")).isTrue();
+        assertThat(budget.left("a")).isLessThan(1);
+    }
+
+    /** A daemon that learns of more peers gives up what is above its new part. */
+    @Test
+    void shrinksWithTheFleetsSize() {
+        final RetryBudget budget = new RetryBudget(0.2, 80);
+        budget.onRequest("a");
+        budget.configure(0.2, 80, 20);
+        int taken = 0;
+        while (budget.take("a")) {
+            taken++;
+        }
+        assertThat(taken).isEqualTo(3);
+    }
+}
--- a/daemon/src/main/java/io/persimmonreel/daemon/log/EventLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/log/EventLog.java
@@ -205,11 +205,12 @@
                 batch.append(mLines.take());
                 Thread.sleep(COLLECT_MILLIS);
             } catch (final InterruptedException e) {
-                // The log was closed; what waits is written below.
+                // The log was closed; what waits is written before the thread ends.
                 mClosed.set(true);
             }
             flush(batch);
         }
+        flush(batch);
     }
 
     private void flush(final StringBuilder batch) {
--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
@@ -0,0 +1,174 @@
+package io.persimmonreel.daemon.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.persimmonreel.core.peer.PeerMessage.DirectoryCopy;
+import io.persimmonreel.core.replica.ReplicaEntry;
+import io.persimmonreel.core.request.Step;
+import io.persimmonreel.core.route.CallerLimits;
+import io.persimmonreel.core.route.RelayConfiguration;
+import io.persimmonreel.core.route.RouteTable;
+import io.persimmonreel.daemon.directory.DirectorySource.Document;
+import io.persimmonreel.daemon.log.EventLog;
+import io.persimmonreel.daemon.time.SystemTimeSource;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DirectoryStateTest {
+    private final EventLog mLog =
+            new EventLog(
+                    "test",
+                    new SystemTimeSource(),
+                    new PrintStream(OutputStream.nullOutputStream()));
+    private final Recorder mRecorder = new Recorder();
+    private final DirectoryState mState = new DirectoryState(new TextFormat(), mRecorder, mLog);
+
+    @AfterEach
+    void closeLog() {
+        mLog.close();
+    }
+
+    /** Configurations are their version as text; replicas are "ready", "draining" or foreign. */
+    private static final class TextFormat implements DirectoryFormat {
+        @Override
+        public boolean isConfiguration(final String name) {
+            return name.equals("config");
+        }
+
+        @Override
+        public boolean isReplica(final String name) {
+            return name.startsWith("r");
+        }
+
+        @Override
+        public RelayConfiguration readConfiguration(final String name, final byte[] content)
+                throws DirectoryException {
+            try {
+                return new RelayConfiguration(
+                        Long.parseLong(new String(content, StandardCharsets.UTF_8)),
+                        new RouteTable(List.of()),
+                        List.of(),
+                        CallerLimits.STANDARD,
+                        List.of());
+            } catch (final NumberFormatException e) {
+                throw new DirectoryException(Step.CONFIGURE, name, "is no number", e);
+            }
+        }
+
+        @Override
+        public ReplicaEntry readReplica(final String name, final byte[] content)
+                throws DirectoryException {
+            final String text = new String(content, StandardCharsets.UTF_8);
+            if (!text.equals("ready") && !text.equals("draining")) {
+                throw new DirectoryException(Step.CONFIGURE, name, "is foreign", null);
+            }
+            return new ReplicaEntry(
+                    name, "app", "10.0.0.1", 80, "z", 4, text.equals("draining"), 1);
+        }
+    }
+
+    /** Records what the state reports. */
+    private static final class Recorder implements DirectoryListener {
+        private final List<Long> mVersions = new ArrayList<>();
+        private TreeSet<String> mReplicas = new TreeSet<>();
+
+        @Override
+        public void onConfiguration(final RelayConfiguration configuration) {
+            mVersions.add(configuration.version());
+        }
+
+        @Override
+        public void onReplicas(final Collection<ReplicaEntry> entries) {
+            mReplicas = new TreeSet<>();
+            entries.forEach(e -> mReplicas.add(e.id() + (e.draining() ? "-" : "+")));
+        }
+    }
+
+    private static Document document(final String name, final String content) {
+        return new Document(
+                name, Optional.ofNullable(content).map(c -> c.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void all(final long revision, final boolean afterOutage, final Document... documents) {
+        mState.onAll(revision, List.of(documents), afterOutage, 0);
+    }
+
+    @Nested
+    class Configuration {
+        /** A store or a peer that serves an older version does not take the newer one back. */
+        @Test
+        void neverGoesBack() {
+            all(1, false, document("config", "7"));
+            mState.onChanges(2, List.of(document("config", "6")));
+            mState.onChanges(3, List.of(document("config", "unreadable")));
+            mState.onChanges(4, List.of(document("config", null)));
+            mState.onChanges(5, List.of(document("config", "9")));
+            assertThat(mRecorder.mVersions).containsExactly(7L, 9L);
+        }
+
+        @Test
+        void isCopiedToAPeerOnlyIfNewer() {
+            all(5, false, document("config", "7"), document("r1", "ready"));
+            final DirectoryCopy whole = mState.copy(6);
+            assertThat(whole.names()).containsExactlyInAnyOrder("config", "r1");
+            assertThat(mState.copy(7).names()).containsExactly("r1");
+            assertThat(whole.revision()).isEqualTo(5);
+        }
+    }
+
+    @Nested
+    class Replicas {
+        /** Another writer's entry, torn or of an unknown state, hides no other entry. */
+        @Test
+        void leaveOutForeignEntries() {
+            all(1, false, document("r1", "ready"), document("r2", "?"), document("x", "ready"));
+            assertThat(mRecorder.mReplicas).containsExactly("r1+");
+        }
+
+        /** A replica whose entry becomes unreadable names no replica to use any more. */
+        @Test
+        void dropEntriesThatBecomeForeign() {
+            all(1, false, document("r1", "ready"), document("r2", "ready"));
+            mState.onChanges(2, List.of(document("r1", "?")));
+            assertThat(mRecorder.mReplicas).containsExactly("r2+");
+        }
+
+        @Test
+        void followDrainingAndRemoval() {
+            all(1, false, document("r1", "ready"), document("r2", "ready"));
+            mState.onChanges(2, List.of(document("r1", "draining"), document("r2", null)));
+            assertThat(mRecorder.mReplicas).containsExactly("r1-");
+        }
+
+        /** Entries that lapsed in an outage come back within two seconds, or the replica left. */
+        @Test
+        void areKeptForAShortTimeAfterAnOutage() {
+            all(1, false, document("r1", "ready"), document("r2", "ready"));
+            all(2, true, document("r1", "ready"));
+            assertThat(mRecorder.mReplicas).containsExactly("r1+", "r2+");
+            mState.expireAbsent(Duration.ofMillis(1_500).toNanos());
+            assertThat(mRecorder.mReplicas).containsExactly("r1+", "r2+");
+            mState.expireAbsent(Duration.ofMillis(1_800).toNanos());
+            assertThat(mRecorder.mReplicas).containsExactly("r1+");
+        }
+
+        @Test
+        void thatCameBackStay() {
+            all(1, false, document("r1", "ready"));
+            all(2, true);
+            mState.onChanges(3, List.of(document("r1", "ready")));
+            mState.expireAbsent(Duration.ofSeconds(9).toNanos());
+            assertThat(mRecorder.mReplicas).containsExactly("r1+");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/EventSplitterTest.java
@@ -0,0 +1,76 @@
+package io.persimmonreel.daemon.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+    private static String split(final EventSplitter splitter, final String text)
+            throws RelayException {
+        return splitter.split(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))
+                .toString(StandardCharsets.UTF_8);
+    }
+
+    @Nested
+    class Split {
+        private final EventSplitter mSplitter = new EventSplitter(null);
+
+        /** A stream that breaks inside an event must not show a part of it. */
+        @Test
+        void holdsBackAPartOfAnEvent() throws RelayException {
+            assertThat(split(mSplitter, "id: 1\ndata: a\n\nid: 2\nda"))
+                    .isEqualTo("id: 1\ndata: a\n\n");
+            assertThat(mSplitter.hasPartialEvent()).isTrue();
+            assertThat(mSplitter.lastId()).isEqualTo("1");
+            assertThat(split(mSplitter, "ta: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+            assertThat(mSplitter.hasPartialEvent()).isFalse();
+            assertThat(mSplitter.lastId()).isEqualTo("2");
+            assertThat(mSplitter.events()).isEqualTo(2);
+        }
+
+        @Test
+        void takesByteByByte() throws RelayException {
+            final String events = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n";
+            final StringBuilder out = new StringBuilder();
+            for (final char c : events.toCharArray()) {
+                out.append(split(mSplitter, String.valueOf(c)));
+            }
+            assertThat(out.toString()).isEqualTo(events);
+        }
+
+        @Test
+        void keepsEventsWithoutId() throws RelayException {
+            assertThat(split(mSplitter, ": comment\n\ndata: x\n\n"))
+                    .isEqualTo(": comment\n\ndata: x\n\n");
+            assertThat(mSplitter.lastId()).isNull();
+        }
+
+        @Test
+        void refusesAnEndlessEvent() throws RelayException {
+            split(mSplitter, "a".repeat(1 << 20));
+            assertThatThrownBy(() -> split(mSplitter, "a")).isInstanceOf(RelayException.class);
+        }
+    }
+
+    @Nested
+    class Restart {
+        /** A replica that goes on too early repeats events that the caller has. */
+        @Test
+        void skipsEventsThatWereForwarded() throws RelayException {
+            final EventSplitter splitter = new EventSplitter(null);
+            split(splitter, "id: 9\ndata: i\n\nid: 10\ndata: j\n\nid: 11\nda");
+            splitter.restart();
+            assertThat(split(splitter, "id: 10\ndata: j\n\nid: 11\ndata: k\n\n"))
+                    .isEqualTo("id: 11\ndata: k\n\n");
+        }
+
+        @Test
+        void goesOnAfterTheCallersOwnEvent() {
+            assertThat(new EventSplitter("4").lastId()).isEqualTo("4");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
@@ -0,0 +1,58 @@
+package io.persimmonreel.daemon.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.persimmonreel.daemon.settings.SettingsException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class RelaySettingsTest {
+    private static final String TEXT =
+            """
+            {"name": "n", "zone": "z", "callerAddress": "127.0.0.1:1",
+             "readinessAddress": "127.0.0.1:2", "peerAddress": "127.0.0.1:3",
+             "metricsAddress": "127.0.0.1:4", "seeds": ["127.0.0.1:5"],
+             "directoryAddress": "127.0.0.1:6", "graceSeconds": 8, "drainMillis": 2000,
+             "retryRatio": 0.2, "retrySlack": 52, "deliverySlackMillis": 120, "more": 1}
+            """;
+
+    @TempDir private Path mFolder;
+
+    private RelaySettings read(final String text) throws IOException, SettingsException {
+        return RelaySettings.read(Files.writeString(mFolder.resolve("settings.json"), text));
+    }
+
+    /** Fields that are not known are ignored, since new ones may come. */
+    @Test
+    void readsAllFields() throws Exception {
+        final RelaySettings settings = read(TEXT);
+        assertThat(settings.callerAddress().getPort()).isEqualTo(1);
+        assertThat(settings.seeds()).hasSize(1);
+        assertThat(settings.grace()).hasSeconds(8);
+        assertThat(settings.retryRatio()).isEqualTo(0.2);
+    }
+
+    @Test
+    void namesTheFieldAtFault() {
+        assertThatThrownBy(() -> read(TEXT.replace("127.0.0.1:3", "nowhere")))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("peerAddress");
+        assertThatThrownBy(() -> read(TEXT.replace("\"graceSeconds\": 8", "\"graceSeconds\": -1")))
+                .hasMessageContaining("graceSeconds");
+        assertThatThrownBy(() -> read(TEXT.replace("\"zone\": \"z\",", "")))
+                .hasMessageContaining("zone");
+        assertThatThrownBy(() -> read("[]")).hasMessageContaining("not an object");
+        assertThatThrownBy(() -> read("{")).isInstanceOf(SettingsException.class);
+    }
+
+    @Test
+    void reportsAMissingFile() {
+        assertThatThrownBy(() -> RelaySettings.read(mFolder.resolve("none")))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("none");
+    }
+}
