--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CrashSuspects.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CrashSuspects.java
@@ -1,12 +1,14 @@
 package io.persimmonreel.daemon.relay;
 
+import com.dynatrace.hash4j.hashing.HashValue128;
+import com.dynatrace.hash4j.hashing.Hasher128;
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBufUtil;
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.quarantine.Fingerprint;
 import io.persimmonreel.core.quarantine.Quarantine;
 import io.persimmonreel.core.quarantine.QuarantineDecision;
 import io.persimmonreel.core.replica.Replica;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -15,6 +17,8 @@
 
 /** Keeps content that crashes replicas away from them. Not thread safe. */
 final class CrashSuspects {
+    private static final Hasher128 HASHER = Hashing.murmur3_128();
+
     private final Quarantine mQuarantine = new Quarantine();
     private Consumer<QuarantineNotice> mNotices = notice -> {};
 
@@ -33,7 +37,9 @@
                         == QuarantineDecision.Kind.QUARANTINED;
     }
 
-    /** Returns the replicas that an attempt must not be sent to. */
+    /**
+     * Returns the replicas that an attempt should not be sent to, since other suspects run there.
+     */
     Set<String> excluded(final RelayCall call, final long nowNanos) {
         if (mQuarantine.isEmpty()) {
             return call.excluded();
@@ -68,20 +74,19 @@
         mQuarantine.onTimer(nowNanos);
     }
 
-    /** The same path, customer, prompt and body are the same content. */
+    /**
+     * Identifies the content of an attempt: path, customer, prompt and body. Only the same content
+     * counts as the same here, so that a hash of the bytes is enough.
+     */
     private static Fingerprint fingerprint(final RelayCall call) {
-        final byte[] head =
-                (call.task().request().request().uri()
-                                + '\n'
-                                + call.task().customerName()
-                                + '\n'
-                                + call.task().work().sessionHash()
-                                + '\n')
-                        .getBytes(StandardCharsets.UTF_8);
-        final byte[] body = ByteBufUtil.getBytes(call.task().request().body());
-        final byte[] all = new byte[head.length + body.length];
-        System.arraycopy(head, 0, all, 0, head.length);
-        System.arraycopy(body, 0, all, head.length, body.length);
-        return Fingerprint.of(call.task().upstream(), all);
+        final RelayTask task = call.task();
+        final HashValue128 hash =
+                HASHER.hashStream()
+                        .putString(task.request().request().uri())
+                        .putString(task.customerName())
+                        .putLong(task.work().sessionHash())
+                        .putByteArray(ByteBufUtil.getBytes(task.request().body()))
+                        .get();
+        return new Fingerprint(task.upstream(), hash.toString(), hash.getLeastSignificantBits());
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
@@ -57,7 +57,7 @@
     @Override
     public ReplicaHead readAnswer(final HttpResponse response) {
         final HttpHeaders headers = response.headers();
-        return new ReplicaHead(headers.get(ATTEMPT), headers.contains(NOT_RUN), UNKNOWN);
+        return new ReplicaHead(headers.get(ATTEMPT), headers.contains(NOT_RUN), true, UNKNOWN);
     }
 
     /** The standard allows whole seconds only, which are rounded up. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -91,6 +91,11 @@
         return mSending;
     }
 
+    /** Tells whether a replica works on the attempt. */
+    boolean isAtReplica() {
+        return mPhase != Phase.WAITING && mPhase != Phase.CONNECTING && mPhase != Phase.DONE;
+    }
+
     int sends() {
         return mSends;
     }
@@ -238,7 +243,7 @@
             connection.cancel();
         }
         release();
-        mService.onReplicaFailed(this, reason);
+        mService.onReplicaBroke(this, reason);
         mMayHaveRun |= !untouched;
         mExcluded.add(replica().entry().id());
         final boolean resendable = untouched || mTask.route().repeat().isRepeatable();
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -140,6 +140,13 @@
                 .write();
     }
 
+    void crashed(final Replica replica, final int requests) {
+        mLog.event("replica", "crashed")
+                .put("replica", replica.entry().id())
+                .put("requests", requests)
+                .write();
+    }
+
     void avoided(final Replica replica, final String reason) {
         mLog.event("replica", "avoided")
                 .put("replica", replica.entry().id())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -110,9 +110,7 @@
         final long now = mService.nowNanos();
         final RelayTask task = call.task();
         final List<Replica> replicas = mReplicas.of(task.upstream());
-        final Set<String> excluded = mSuspects.excluded(call, now);
-        final Optional<Choice> chosen =
-                mPlacement.choose(task.work(), replicas, excluded, task.millisLeft(now), now);
+        final Optional<Choice> chosen = choose(call, replicas, now);
         if (chosen.isEmpty()) {
             return onNoReplica(call, now);
         }
@@ -153,6 +151,18 @@
         }
     }
 
+    /** Keeps suspects apart if there are replicas enough. */
+    private Optional<Choice> choose(
+            final RelayCall call, final List<Replica> replicas, final long now) {
+        final RelayTask task = call.task();
+        final double left = task.millisLeft(now);
+        final Set<String> apart = mSuspects.excluded(call, now);
+        final Optional<Choice> chosen = mPlacement.choose(task.work(), replicas, apart, left, now);
+        return chosen.isPresent() || apart.equals(call.excluded())
+                ? chosen
+                : mPlacement.choose(task.work(), replicas, call.excluded(), left, now);
+    }
+
     private double millisUntilEnd(final long now) {
         return mEndNanos == Long.MAX_VALUE ? Double.MAX_VALUE : (mEndNanos - now) / NANOS_PER_MILLI;
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -54,9 +54,6 @@
     /** Prompts of this size show the speed of reading; shorter ones show the fixed cost. */
     private static final int LONG_PROMPT_TOKENS = 1_500;
 
-    /** A replica that fails this part of its requests may have crashed. */
-    private static final double CRASH_RATE = 0.3;
-
     /** A resend with less time left than this can't be answered in time. */
     private static final double LEAST_RESEND_MILLIS = 60;
 
@@ -69,6 +66,7 @@
     private final StallRule mStalls = new StallRule();
     private final FleetQuota mQuota = new FleetQuota();
     private final RetryBudget mBudget;
+    private final CrashWatch mCrashes = new CrashWatch();
     private final CrashSuspects mSuspects = new CrashSuspects();
     private final OutputLengths mLengths = new OutputLengths();
     private final RelayScheduler mScheduler;
@@ -213,9 +211,15 @@
                 checkStall(call, nowNanos);
             }
         }
+        mCrashes.onTimer(mActive, nowNanos, this::onCrash);
         mScheduler.placeAll();
     }
 
+    private void onCrash(final Replica replica, final Collection<RelayCall> calls) {
+        mLog.crashed(replica, calls.size());
+        mSuspects.onCrash(replica, calls, nowNanos());
+    }
+
     /** Accepts from now on only what will be answered before the process ends. */
     void leave(final long endNanos) {
         mScheduler.leave(endNanos);
@@ -266,12 +270,12 @@
         }
     }
 
-    void onReplicaFailed(final RelayCall call, final String reason) {
+    void onReplicaBroke(final RelayCall call, final String reason) {
         final Replica replica = call.replica();
         if (replica.health().onFailure(nowNanos())) {
             mLog.avoided(replica, reason);
         }
-        suspect(call);
+        mCrashes.onBroken(call, nowNanos());
     }
 
     void onReplicaError(final RelayCall call, final HttpResponseStatus status) {
@@ -453,14 +457,6 @@
                 .anyMatch(r -> !r.entry().draining() && !used.contains(r.entry().id()));
     }
 
-    /** Requests that ran on a replica whose connections broke together are suspects. */
-    private void suspect(final RelayCall failed) {
-        final Replica replica = failed.replica();
-        if (replica.health().failureRate() >= CRASH_RATE) {
-            mSuspects.onCrash(replica, List.of(failed), nowNanos());
-        }
-    }
-
     private int tokensPerEvent(final String upstream) {
         final RelayConfiguration configuration = mConfiguration;
         return configuration == null
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Sending.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Sending.java
@@ -31,6 +31,10 @@
         return mChoice.replica();
     }
 
+    long sentNanos() {
+        return mSentNanos;
+    }
+
     boolean hasEvents() {
         return mFirstNanos != 0;
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -23,6 +23,8 @@
  * run on the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    private static final int MISDIRECTED = 421;
+
     private static final ExchangeListener IGNORED =
             new ExchangeListener() {
                 @Override
@@ -180,12 +182,23 @@
         if (mSkipping) {
             return;
         }
+        if (!isAttributable(response, head)) {
+            // A spoiled head may read as a whole answer without fields.
+            fail("the answer does not show whose it is");
+            return;
+        }
         mHeadSeen = true;
         mReusable = isReusable(response);
         mIdleLimitNanos = KeepAlive.limitNanos(response.headers());
         mListener.onHead(response, head);
     }
 
+    private static boolean isAttributable(final HttpResponse response, final ReplicaHead head) {
+        final boolean refusal = head.notRun() || response.status().code() == MISDIRECTED;
+        final boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        return refusal || head.attemptId() != null && (head.genuine() || !success);
+    }
+
     private static boolean isReusable(final HttpResponse response) {
         final HttpHeaders headers = response.headers();
         return HttpUtil.isKeepAlive(response)
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayPathTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayPathTest.java
@@ -198,6 +198,20 @@
             }
         }
 
+        /** A head that lost its fields in a crash reads as a whole answer without a body. */
+        @Test
+        void failsIfTheAnswerDoesNotNameTheAttempt() throws Exception {
+            try (RelayRig rig = new RelayRig(1)) {
+                rig.replica(0)
+                        .then(
+                                e -> {
+                                    e.write("HTTP/1.1 200 OK\r\n\r\n");
+                                    e.socket().close();
+                                });
+                assertThat(rig.call("POST", "/charge/1", ID, "x")).startsWith("HTTP/1.1 502");
+            }
+        }
+
         /** A replica may answer before it read a long body; the rest is not read as a request. */
         @Test
         void doesNotReuseAConnectionThatWasAnsweredEarly() throws Exception {
