--- a/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -14,9 +14,27 @@
  * are serialized.
  */
 public final class FleetQuota {
+    /** Part of the tolerance that is used, so that late reports do not exceed it. */
+    private static final double TOLERANCE_SHARE = 0.5;
+
     private final Map<String, CustomerAllowance> mAllowances = new HashMap<>();
+    private final QuotaTolerance mTolerance;
     private double mHeardShare = 1.0;
 
+    /** Creates a quota that is kept to the unit. */
+    public FleetQuota() {
+        this(new QuotaTolerance(0, 0));
+    }
+
+    /**
+     * Creates a quota that errs on the side of serving.
+     *
+     * @param tolerance what the operator tolerates beyond the quota
+     */
+    public FleetQuota(final QuotaTolerance tolerance) {
+        mTolerance = tolerance;
+    }
+
     /**
      * Takes the quotas of a configuration. Customers that are gone are forgotten.
      *
@@ -29,13 +47,12 @@
         for (final RelayCustomer customer : customers) {
             names.add(customer.name());
             final CustomerAllowance known = mAllowances.get(customer.name());
+            final double rate = mTolerance.rate(customer, TOLERANCE_SHARE);
+            final double burst = mTolerance.burst(customer, TOLERANCE_SHARE);
             if (known == null) {
-                mAllowances.put(
-                        customer.name(),
-                        new CustomerAllowance(
-                                customer.ratePerSecond(), customer.burst(), nowNanos));
+                mAllowances.put(customer.name(), new CustomerAllowance(rate, burst, nowNanos));
             } else {
-                known.configure(customer.ratePerSecond(), customer.burst());
+                known.configure(rate, burst);
             }
         }
         mAllowances.keySet().retainAll(names);
--- a/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaTest.java
@@ -21,9 +21,13 @@
     }
 
     private static List<FleetQuota> fleet(final double rate) {
+        return fleet(rate, new QuotaTolerance(0, 0));
+    }
+
+    private static List<FleetQuota> fleet(final double rate, final QuotaTolerance tolerance) {
         final List<FleetQuota> fleet = new ArrayList<>();
         for (int i = 0; i < DAEMONS; i++) {
-            final FleetQuota quota = new FleetQuota();
+            final FleetQuota quota = new FleetQuota(tolerance);
             quota.configure(List.of(customer(rate)), 0);
             quota.onMembers(DAEMONS, DAEMONS);
             fleet.add(quota);
@@ -74,6 +78,16 @@
             assertThat(used).isBetween((long) (8 * RATE * 0.9), (long) (9 * RATE * 1.25));
         }
 
+        /**
+         * What the operator tolerates is used in part, and reports that come late fit in the rest.
+         */
+        @Test
+        void staysWithinWhatTheOperatorTolerates() {
+            final double tokens = 0.7 * RATE;
+            final long used = play(fleet(RATE, new QuotaTolerance(0.25, tokens)), DAEMONS, 18, 10);
+            assertThat(used).isBetween((long) (8 * RATE), (long) (9 * RATE * 1.25 + tokens));
+        }
+
         /** Two parts of the fleet that do not hear each other stay within the rate together. */
         @Test
         void staysWithinItsRateWhileTheFleetIsSplit() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.persimmonreel.core.peer.Incarnation;
+import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.request.Step;
 import io.persimmonreel.core.retry.RetryBudget;
 import io.persimmonreel.core.time.TimeSource;
@@ -120,6 +121,7 @@
                         dialect,
                         new UpstreamConnections(mGroup.next(), dialect, time),
                         budget,
+                        new FleetQuota(settings.quotaTolerance()),
                         seed);
         mListener = new RelayListener(dialect, time, log, mService::limits, mService::heldBytes);
         mDirectory = new DirectoryState(format, mService, log);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -63,6 +63,8 @@
                 .put("id", call.task().id())
                 .put("route", call.task().route().name())
                 .put("replica", choice.replica().entry().id())
+                .put("customer", call.task().customerName())
+                .put("units", call.task().units())
                 .put("load", Math.round(choice.load()))
                 .put("candidates", candidates)
                 .put("first_ms", Math.round(choice.firstMillis()))
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -64,7 +64,7 @@
     private final UpstreamConnections mConnections;
     private final ReplicaSet mReplicas = new ReplicaSet();
     private final StallRule mStalls = new StallRule();
-    private final FleetQuota mQuota = new FleetQuota();
+    private final FleetQuota mQuota;
     private final RetryBudget mBudget;
     private final CrashWatch mCrashes = new CrashWatch();
     private final CrashSuspects mSuspects = new CrashSuspects();
@@ -83,6 +83,7 @@
             final RelayDialect dialect,
             final UpstreamConnections connections,
             final RetryBudget budget,
+            final FleetQuota quota,
             final long seed) {
         mTime = time;
         mLog = log;
@@ -90,6 +91,7 @@
         mRequests = new UpstreamRequests(dialect);
         mConnections = connections;
         mBudget = budget;
+        mQuota = quota;
         mRandom = new SplittableRandom(seed);
         mScheduler = new RelayScheduler(this, log, seed + 1);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.persimmonreel.core.quota.QuotaTolerance;
 import io.persimmonreel.daemon.settings.SettingsException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -28,6 +29,7 @@
  * @param drain the time within which a replica that leaves gets no new requests
  * @param retryRatio the retries that each request earns for the fleet
  * @param retrySlack the retries that the fleet may make in a window beyond that
+ * @param quotaTolerance what is tolerated beyond the quotas of customers
  * @param deliverySlack the delay that an event of a stream may have
  */
 public record RelaySettings(
@@ -43,6 +45,7 @@
         Duration drain,
         double retryRatio,
         double retrySlack,
+        QuotaTolerance quotaTolerance,
         Duration deliverySlack) {
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
@@ -84,6 +87,8 @@
                 Duration.ofMillis((long) reader.number("drainMillis")),
                 reader.number("retryRatio"),
                 reader.number("retrySlack"),
+                new QuotaTolerance(
+                        reader.number("quotaOvershoot"), reader.number("quotaTolerance")),
                 Duration.ofMillis((long) reader.number("deliverySlackMillis")));
     }
 
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayRig.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayRig.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.quota.QuotaTolerance;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.route.CallerLimits;
 import io.persimmonreel.core.route.RelayConfiguration;
@@ -229,6 +230,7 @@
                 Duration.ofSeconds(2),
                 1.0,
                 50,
+                new QuotaTolerance(0, 0),
                 Duration.ofMillis(100));
     }
 
