--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -247,20 +247,21 @@
     record Leaving() implements PeerMessage {}
 
     /**
-     * Reports a relay's view: its members, its version of the directory, its work at each replica
-     * and what customers used of their quotas.
+     * Reports what a relay, or all relays that it speaks for, do at replicas and use of quotas.
      *
      * @param address the address at which the sender accepts peers
      * @param leaving whether the sender takes no new work
-     * @param members the addresses of peers that the sender hears
+     * @param daemons the daemons that the digest speaks for, 0 if it counts for nothing
+     * @param members addresses of relays that the sender knows, may be empty
      * @param directoryRevision the newest revision of the directory that the sender holds
      * @param configVersion the version of the configuration in force at the sender, 0 if none
      * @param replicas the work at replicas that have any, and their speeds
-     * @param use the units that customers used at the sender since its start
+     * @param use the units that customers used since the sender's last digest to this peer
      */
     record RelayDigest(
             String address,
             boolean leaving,
+            int daemons,
             List<String> members,
             long directoryRevision,
             long configVersion,
--- a/core/src/main/java/io/persimmonreel/core/replica/Replica.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/Replica.java
@@ -26,6 +26,7 @@
     private volatile double mTokenMillis;
     private volatile double mPrefillTokenMicros;
     private volatile double mServiceMillis;
+    private volatile double mErrorMillis;
     private volatile int mSamples;
 
     /**
@@ -181,6 +182,24 @@
         mPrefillTokenMicros = average(mPrefillTokenMicros, microsPerToken);
     }
 
+    /**
+     * Takes the error of a prediction of a first event.
+     *
+     * @param millis the actual time less the predicted one, in milliseconds
+     */
+    public void onPredictionError(final double millis) {
+        mErrorMillis += SAMPLE_WEIGHT * (millis - mErrorMillis);
+    }
+
+    /**
+     * Returns by how much first events come later than predicted.
+     *
+     * @return the mean error in milliseconds, not negative
+     */
+    public double errorMillis() {
+        return Math.max(0.0, mErrorMillis);
+    }
+
     /**
      * Takes the time in which a whole request was served.
      *
--- /dev/null
+++ b/core/src/test/java/io/persimmonreel/core/membership/HubTopologyTest.java
@@ -0,0 +1,74 @@
+package io.persimmonreel.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class HubTopologyTest {
+    private static List<String> fleet(final int size) {
+        final List<String> fleet = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            fleet.add("10.0." + i / 200 + "." + i % 200 + ":7000");
+        }
+        return fleet;
+    }
+
+    private static List<HubTopology> topologies(final List<String> fleet) {
+        return fleet.stream().map(self -> new HubTopology(self, fleet)).toList();
+    }
+
+    @Test
+    void isAMeshInASmallFleet() {
+        final List<String> fleet = fleet(HubTopology.MESH_UP_TO);
+        for (final HubTopology topology : topologies(fleet)) {
+            assertThat(topology.isMesh()).isTrue();
+            assertThat(topology.links()).hasSize(fleet.size() - 1);
+        }
+    }
+
+    /** Every leaf has two hubs, and all daemons agree on who is a hub. */
+    @Test
+    void hasHubsInALargeFleet() {
+        final List<String> fleet = fleet(87);
+        final List<HubTopology> all = topologies(fleet);
+        assertThat(all.stream().filter(HubTopology::isHub)).hasSize(10);
+        for (final HubTopology topology : all) {
+            assertThat(topology.links()).hasSize(topology.isHub() ? 9 : 2);
+            for (int i = 0; i < fleet.size(); i++) {
+                assertThat(topology.isHub(fleet.get(i))).isEqualTo(all.get(i).isHub());
+            }
+        }
+    }
+
+    /** The connections of a daemon grow with the square root of the fleet. */
+    @Test
+    void boundsTheConnectionsOfADaemon() {
+        final List<String> fleet = fleet(880);
+        final List<HubTopology> all = topologies(fleet);
+        int most = 0;
+        for (int i = 0; i < fleet.size(); i++) {
+            final String hub = fleet.get(i);
+            int connections = all.get(i).isHub() ? 29 : 2;
+            for (final HubTopology other : all) {
+                connections += !other.isHub() && other.links().contains(hub) ? 1 : 0;
+            }
+            most = Math.max(most, connections);
+        }
+        assertThat(most).isLessThan(4 * (int) Math.sqrt(880));
+    }
+
+    /** A leaf whose hub falls silent turns to its second one. */
+    @Test
+    void turnsToTheSecondHub() {
+        final List<String> fleet = fleet(40);
+        final HubTopology leaf =
+                topologies(fleet).stream().filter(t -> !t.isHub()).findFirst().orElseThrow();
+        final List<String> hubs = leaf.ownHubs();
+        assertThat(leaf.countingHub(hubs)).contains(hubs.get(0));
+        assertThat(leaf.countingHub(Set.of(hubs.get(1)))).contains(hubs.get(1));
+        assertThat(leaf.countingHub(Set.of())).isEmpty();
+    }
+}
--- a/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -64,6 +64,25 @@
             assertThat(same).isEqualTo(50);
         }
 
+        /** Daemons that find a home busy agree on where else a session's prompt is read. */
+        @Test
+        void haveTheSameSecondHomeOnAllDaemons() {
+            final Placement other = new Placement(new KeptParts(), 99);
+            for (long session = 1; session <= 20; session++) {
+                final Replica home = choose(session(session), 15_000);
+                final Set<String> busy = Set.of(home.entry().id());
+                assertThat(
+                                mPlacement
+                                        .choose(session(session), mReplicas, busy, 15_000, 0)
+                                        .orElseThrow()
+                                        .replica())
+                        .isSameAs(
+                                other.choose(session(session), mReplicas, busy, 15_000, 0)
+                                        .orElseThrow()
+                                        .replica());
+            }
+        }
+
         /** A session does not wait behind others only because its prompt is there. */
         @Test
         void leaveABusyHome() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -9,6 +9,7 @@
 import io.persimmonreel.core.request.Step;
 import io.persimmonreel.core.retry.RetryBudget;
 import io.persimmonreel.core.time.TimeSource;
+import io.persimmonreel.core.time.TimerService;
 import io.persimmonreel.daemon.DaemonException;
 import io.persimmonreel.daemon.directory.DirectoryFormat;
 import io.persimmonreel.daemon.directory.DirectorySource;
@@ -56,7 +57,7 @@
 
     private static final Duration LEAVE_CHECK = Duration.ofMillis(100);
 
-    private final RelaySettings mSettings;
+    private volatile RelaySettings mSettings;
     private final TimeSource mTime;
     private final EventLog mLog;
     private final NioEventLoopGroup mGroup =
@@ -131,6 +132,7 @@
                         mDirectory,
                         mTimers,
                         time,
+                        settings.drain(),
                         log,
                         seed + 3);
         mNeighbours = new Neighbours(settings, mService, mDirectory, mWatch, budget, time, log);
@@ -169,6 +171,42 @@
                 .write();
     }
 
+    /**
+     * Takes changed settings. Addresses and the zone hold until the next start.
+     *
+     * @param settings the settings
+     */
+    public void reload(final RelaySettings settings) {
+        if (!settings.callerAddress().equals(mSettings.callerAddress())
+                || !settings.peerAddress().equals(mSettings.peerAddress())
+                || !settings.directoryAddress().equals(mSettings.directoryAddress())) {
+            mLog.event("settings", "restart-needed").put("reason", "an address changed").write();
+        }
+        mSettings = settings;
+        mGroup.next().execute(() -> mNeighbours.reload(settings));
+    }
+
+    /**
+     * Runs a task on the threads of the relay.
+     *
+     * @param task the task
+     */
+    public void execute(final Runnable task) {
+        mGroup.next().execute(task);
+    }
+
+    /**
+     * Calls a listener from time to time on the threads of the relay.
+     *
+     * @param name the name of the listener, used in logs
+     * @param interval the time between two calls
+     * @param listener the listener
+     */
+    public void every(
+            final String name, final Duration interval, final TimerService.TimerListener listener) {
+        mTimers.every(name, interval, listener);
+    }
+
     /**
      * Returns the address for callers.
      *
@@ -213,7 +251,7 @@
                 "persimmonreel_relay_waiting",
                 "Requests that wait for a replica",
                 mService::waiting);
-        mMetrics.gauge("persimmonreel_relay_peers", "Connected daemons", mNeighbours::heard);
+        mMetrics.gauge("persimmonreel_relay_peers", "Connected daemons", mNeighbours::connected);
         mMetrics.gauge(
                 "persimmonreel_relay_upstream_connections_opened",
                 "Connections opened to replicas since the start",
@@ -223,7 +261,7 @@
         mTimers.every("relay", TICK, mService::onTimer);
         mTimers.every("digest", DIGEST_INTERVAL, mNeighbours::sendDigests);
         mTimers.every("quarantine", QUARANTINE_INTERVAL, mService.suspects()::onTimer);
-        mTimers.every("dial", DIAL_INTERVAL, now -> mNeighbours.dial());
+        mTimers.every("dial", DIAL_INTERVAL, now -> mNeighbours.maintain());
         mTimers.every(
                 "callers",
                 CHECK_INTERVAL,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -26,7 +26,8 @@
  * @param seeds addresses of other daemons to try at start
  * @param directoryAddress where the directory is read
  * @param grace the time between the request to stop and the end of the process
- * @param drain the time within which a replica that leaves gets no new requests
+ * @param drain the time within which a replica that leaves gets no new requests, and a
+ *     configuration is in force
  * @param retryRatio the retries that each request earns for the fleet
  * @param retrySlack the retries that the fleet may make in a window beyond that
  * @param quotaTolerance what is tolerated beyond the quotas of customers
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayTask.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayTask.java
@@ -63,6 +63,7 @@
         return new Admission.Applicant(
                 route.objectiveMillis(),
                 waitedBeforeMillis + waitedMillis(nowNanos),
+                waitedMillis(nowNanos),
                 millisLeft(nowNanos),
                 waitedBeforeMillis > 0);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Sending.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Sending.java
@@ -14,6 +14,7 @@
     private boolean mStallNoted;
     private long mFirstNanos;
     private long mLastNanos;
+    private long mLongestPauseNanos;
 
     /** Counts the send at its replica. */
     Sending(final Choice choice, final long nowNanos) {
@@ -41,10 +42,12 @@
 
     /** Notes an event and returns true if it is the first one. */
     boolean onEvent(final long nowNanos) {
-        mLastNanos = nowNanos;
         if (mFirstNanos != 0) {
+            mLongestPauseNanos = Math.max(mLongestPauseNanos, nowNanos - mLastNanos);
+            mLastNanos = nowNanos;
             return false;
         }
+        mLastNanos = nowNanos;
         mFirstNanos = nowNanos;
         releasePrefill();
         return true;
@@ -55,6 +58,11 @@
         return (mFirstNanos - mSentNanos) / NANOS_PER_MILLI;
     }
 
+    /** Returns the longest time between two events, in milliseconds. */
+    double longestPauseMillis() {
+        return mLongestPauseNanos / NANOS_PER_MILLI;
+    }
+
     /** Returns the time between the first and the last event, in milliseconds. */
     double streamMillis() {
         return mFirstNanos == 0 ? 0 : (mLastNanos - mFirstNanos) / NANOS_PER_MILLI;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingCalls.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingCalls.java
@@ -5,12 +5,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Orders the attempts that wait for replicas of each upstream: those that can be on time first,
- * then by urgency, then by arrival. Not thread safe.
+ * then by arrival, with a head start for each rank. A head start lets urgent requests go first and
+ * does not starve the others. Not thread safe.
  */
 final class WaitingCalls {
+    /** Lead of one rank before the next one. */
+    private static final long RANK_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
     private final Map<String, List<RelayCall>> mByUpstream = new HashMap<>();
     private int mSize;
 
@@ -52,8 +57,11 @@
                 new ArrayList<>(mByUpstream.getOrDefault(upstream, List.of()));
         calls.sort(
                 Comparator.<RelayCall, Boolean>comparing(c -> c.task().objectiveLeft(nowNanos) <= 0)
-                        .thenComparingInt(c -> c.task().rank())
-                        .thenComparingLong(c -> c.task().request().arrivedNanos()));
+                        .thenComparingLong(WaitingCalls::turn));
         return calls;
     }
+
+    private static long turn(final RelayCall call) {
+        return call.task().request().arrivedNanos() + call.task().rank() * RANK_NANOS;
+    }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayPathTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayPathTest.java
@@ -339,6 +339,21 @@
         }
     }
 
+    /** A caller with a little less patience than others did not return; it is not late yet. */
+    @Nested
+    class Deadlines {
+        @Test
+        void doNotMakeImpatientCallersLate() {
+            assertThat(CallerPatience.waitedBefore(12_000, 10_000)).isZero();
+            assertThat(CallerPatience.waitedBefore(12_000, 12_000)).isZero();
+        }
+
+        @Test
+        void showCallersThatReturned() {
+            assertThat(CallerPatience.waitedBefore(12_000, 8_000)).isEqualTo(4_000);
+        }
+    }
+
     @Nested
     class Refusals {
         @Test
