--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -70,7 +71,10 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
         response.headers().set(headers);
         response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        final boolean head = mAnswering.request().method().equals(HttpMethod.HEAD);
+        if (!head || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
         finish(response, keep);
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -49,6 +50,7 @@
     private Channel mChannel;
     private ExchangeListener mListener;
     private String mAttemptId;
+    private boolean mHead;
     private boolean mWritten;
     private boolean mHeadSeen;
     private boolean mSkipping;
@@ -72,6 +74,11 @@
         return mChannel != null && mChannel.isActive();
     }
 
+    /** Tells whether the present request is a HEAD request. */
+    boolean isHead() {
+        return mHead;
+    }
+
     boolean isIdle() {
         return mListener == null && isOpen();
     }
@@ -97,6 +104,7 @@
             final ExchangeListener listener) {
         mListener = listener;
         mAttemptId = attemptId;
+        mHead = request.method().equals(HttpMethod.HEAD);
         mWritten = false;
         mHeadSeen = false;
         mSkipping = false;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnections.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnections.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.persimmonreel.core.replica.Replica;
@@ -145,10 +146,7 @@
                                         channel.pipeline()
                                                 .addLast(
                                                         new HttpRequestEncoder(),
-                                                        new HttpResponseDecoder(
-                                                                MAXIMUM_LINE_BYTES,
-                                                                MAXIMUM_HEADER_BYTES,
-                                                                MAXIMUM_CHUNK_BYTES),
+                                                        decoder(connection),
                                                         connection);
                                     }
                                 })
@@ -163,4 +161,15 @@
                     }
                 });
     }
+
+    /** Answers to HEAD state the length of a body that does not follow. */
+    private static HttpResponseDecoder decoder(final UpstreamConnection connection) {
+        return new HttpResponseDecoder(
+                MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES) {
+            @Override
+            protected boolean isContentAlwaysEmpty(final HttpMessage message) {
+                return connection.isHead() || super.isContentAlwaysEmpty(message);
+            }
+        };
+    }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayPathTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayPathTest.java
@@ -117,6 +117,23 @@
         }
     }
 
+    /** An answer to HEAD states the length of a body that does not follow. */
+    @Test
+    void endsAnswersToHeadWithTheirHead() throws Exception {
+        try (RelayRig rig = new RelayRig(1)) {
+            rig.replica(0)
+                    .then(
+                            e ->
+                                    e.write(
+                                            "HTTP/1.1 200 OK\r\nPersimmonreel-Attempt: a1\r\n"
+                                                    + "Content-Length: 10\r\n\r\n"));
+            assertThat(rig.call("HEAD", "/lookup/1", ID, ""))
+                    .startsWith("HTTP/1.1 200")
+                    .containsIgnoringCase("content-length: 10")
+                    .endsWith("\r\n\r\n");
+        }
+    }
+
     @Nested
     class AtMostOnce {
         /** A broken connection does not show that the request has not run. */
