--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -279,6 +279,13 @@
      */
     record ReplicaWork(String replica, int inFlight, int prefillTokens, int tokenMicros) {}
 
+    /**
+     * Tells a daemon that starts what is left of the customers' quotas.
+     *
+     * @param levels the units that are left by customer, negative for a debt
+     */
+    record QuotaLevels(Map<String, Long> levels) implements PeerMessage {}
+
     /**
      * Asks for the documents of the directory.
      *
--- a/core/src/main/java/io/persimmonreel/core/quota/CustomerAllowance.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/CustomerAllowance.java
@@ -11,7 +11,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** A new process knows nothing of the use before its start and begins with this part. */
-    private static final double START_SHARE = 0.5;
+    private static final double START_SHARE = 0.8;
 
     /** Use that is learned late is paid back over at most this many seconds of the rate. */
     private static final double LONGEST_DEBT_SECONDS = 4.0;
@@ -65,6 +65,15 @@
         mLevel = Math.min(mBurst, Math.max(mLevel - units, -LONGEST_DEBT_SECONDS * mRate));
     }
 
+    double level() {
+        return mLevel;
+    }
+
+    /** Takes the level of a daemon that has run for longer. */
+    void lowerTo(final double level) {
+        mLevel = Math.min(mLevel, level);
+    }
+
     /** Returns the time until units are available again, in milliseconds. */
     long millisUntilAvailable(final double heardShare) {
         final double rate = Math.max(1.0, mRate * heardShare);
--- a/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -137,4 +137,30 @@
                     }
                 });
     }
+
+    /**
+     * Returns the levels of all customers, for a daemon that starts.
+     *
+     * @return the units that are left by customer, negative for a debt
+     */
+    public synchronized Map<String, Long> levels() {
+        final Map<String, Long> levels = new HashMap<>();
+        mAllowances.forEach((name, allowance) -> levels.put(name, (long) allowance.level()));
+        return levels;
+    }
+
+    /**
+     * Takes the levels of a daemon that has run for longer, so that a restart does not fill them.
+     *
+     * @param levels the units that are left by customer
+     */
+    public synchronized void onLevels(final Map<String, Long> levels) {
+        levels.forEach(
+                (name, level) -> {
+                    final CustomerAllowance allowance = mAllowances.get(name);
+                    if (allowance != null) {
+                        allowance.lowerTo(level);
+                    }
+                });
+    }
 }
--- a/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaTest.java
@@ -96,6 +96,18 @@
             assertThat(play(fleet, 2, 18, 10)).isLessThan((long) (9 * RATE * 1.25));
         }
 
+        /** Daemons that restart one after the other do not fill the quota each time. */
+        @Test
+        void isNotFilledByARestart() {
+            final FleetQuota old = fleet(RATE).get(0);
+            while (old.use(customer(RATE), 1_000, 0)) {
+                continue;
+            }
+            final FleetQuota started = fleet(RATE).get(0);
+            started.onLevels(old.levels());
+            assertThat(started.use(customer(RATE), 1_000, 0)).isFalse();
+        }
+
         /** Use is reported once, and units that were given back are reported, too. */
         @Test
         void reportsEachUseOnce() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -51,7 +51,8 @@
                     PeerMessage.MemberGossip.class,
                     PeerMessage.RelayDigest.class,
                     PeerMessage.DirectoryRequest.class,
-                    PeerMessage.DirectoryCopy.class);
+                    PeerMessage.DirectoryCopy.class,
+                    PeerMessage.QuotaLevels.class);
 
     private static final List<Class<? extends Record>> NESTED =
             List.of(
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
@@ -44,7 +44,13 @@
     /** Connections that are not needed stay open for this time, while views still differ. */
     private static final long UNNEEDED_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** In a large fleet every so many digests list the members. */
+    /** A daemon takes the levels of quotas from one that has run for longer than this. */
+    private static final long SETTLED_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** In a large fleet digests are sent at every so many intervals, since hubs send many. */
+    private static final int LARGE_FLEET_EVERY = 2;
+
+    /** In a large fleet the members are listed at every so many intervals. */
     private static final int MEMBERS_EVERY = 8;
 
     /** Without any peer the daemon assumes a fleet of this size. */
@@ -66,6 +72,7 @@
     private HubTopology mTopology;
     private PeerTransport mTransport;
     private boolean mLeaving;
+    private final long mStartNanos;
     private long mAskedNanos;
     private int mDigests;
 
@@ -99,6 +106,7 @@
         mRetryRatio = settings.retryRatio();
         mRetrySlack = settings.retrySlack();
         mTime = time;
+        mStartNanos = time.monotonicNanos();
         mLog = log;
         mTopology = new HubTopology(text(mAddress), List.of());
     }
@@ -133,6 +141,9 @@
     /** Sends digests to the peers that need them. */
     void sendDigests(final long nowNanos) {
         mDigests++;
+        if (!mTopology.isMesh() && mDigests % LARGE_FLEET_EVERY != 0) {
+            return;
+        }
         final Map<String, Long> ownUse = mService.quota().takeUnreported();
         final Map<Incarnation, Map<String, Long>> peerUse = mWork.takeUse();
         if (mTopology.isHub()) {
@@ -181,6 +192,10 @@
                         configVersion(),
                         List.of(),
                         Map.of()));
+        if (isSettled()) {
+            mTransport.send(
+                    peer.incarnation(), new PeerMessage.QuotaLevels(mService.quota().levels()));
+        }
     }
 
     @Override
@@ -205,6 +220,10 @@
             }
         } else if (message instanceof DirectoryCopy copy) {
             mWatch.onCopy(copy);
+        } else if (message instanceof PeerMessage.QuotaLevels levels) {
+            if (!isSettled()) {
+                mService.onQuotaLevels(levels.levels());
+            }
         } else if (message instanceof QuarantineNotice notice) {
             onNotice(from.incarnation(), notice, now);
         }
@@ -382,6 +401,10 @@
         }
     }
 
+    private boolean isSettled() {
+        return mTime.monotonicNanos() - mStartNanos > SETTLED_NANOS;
+    }
+
     private boolean isHub(final Incarnation incarnation) {
         final Peer peer = mPeers.get(incarnation);
         return peer != null && mTopology.isHub(peer.mAddress);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -41,6 +41,8 @@
     /** Bounds how late a deadline, a stall or a free replica is noticed. */
     private static final Duration TICK = Duration.ofMillis(40);
 
+    private static final Duration IDLE_TICK = Duration.ofMillis(160);
+
     private static final Duration DIGEST_INTERVAL = Duration.ofMillis(200);
     private static final Duration DIAL_INTERVAL = Duration.ofMillis(500);
     private static final Duration QUARANTINE_INTERVAL = Duration.ofSeconds(30);
@@ -258,7 +260,7 @@
                 () -> mService.connections().opened());
         mWatch.start();
         mNeighbours.start(mTransport);
-        mTimers.every("relay", TICK, mService::onTimer);
+        mTimers.after("relay", TICK, this::onTick);
         mTimers.every("digest", DIGEST_INTERVAL, mNeighbours::sendDigests);
         mTimers.every("quarantine", QUARANTINE_INTERVAL, mService.suspects()::onTimer);
         mTimers.every("dial", DIAL_INTERVAL, now -> mNeighbours.maintain());
@@ -271,6 +273,12 @@
                 });
     }
 
+    /** An idle relay wakes up less often, since each wake-up costs. */
+    private void onTick(final long nowNanos) {
+        mTimers.after("relay", mService.isIdle() ? IDLE_TICK : TICK, this::onTick);
+        mService.onTimer(nowNanos);
+    }
+
     private boolean isReady() {
         return !mLeaving && mService.isConfigured() && !mService.replicas().all().isEmpty();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -20,6 +20,7 @@
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.directory.DirectoryListener;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -39,6 +40,9 @@
     /** Attempts end this long before their deadline, so that the answer still arrives. */
     private static final double DEADLINE_MARGIN_MILLIS = 50;
 
+    /** Callers that come too early for a configuration are held for this time. */
+    private static final long NO_CONFIGURATION_HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
+
     /** Callers that come too early for a configuration return after this time. */
     private static final long NO_CONFIGURATION_RETURN_MILLIS = 300;
 
@@ -68,6 +72,8 @@
     private final OutputLengths mLengths = new OutputLengths();
     private final RelayScheduler mScheduler;
     private final Set<RelayCall> mActive = new LinkedHashSet<>();
+    private final List<CallerRequest> mEarly = new ArrayList<>();
+    private Map<String, Long> mEarlyLevels = Map.of();
     private final Map<CallerRequest, RelayCall> mByRequest = new HashMap<>();
     private final CallerPatience mPatience = new CallerPatience();
     private final SplittableRandom mRandom;
@@ -117,6 +123,11 @@
         return mRequests;
     }
 
+    /** Tells whether no request needs the timer. */
+    boolean isIdle() {
+        return mActive.isEmpty() && mEarly.isEmpty();
+    }
+
     int active() {
         return mActive.size();
     }
@@ -142,6 +153,20 @@
     public void onConfiguration(final RelayConfiguration configuration) {
         mConfiguration = configuration;
         mQuota.configure(configuration.customers(), nowNanos());
+        mQuota.onLevels(mEarlyLevels);
+        mEarlyLevels = Map.of();
+        final List<CallerRequest> early = List.copyOf(mEarly);
+        mEarly.clear();
+        early.forEach(this::onRequest);
+    }
+
+    /** Takes the levels of quotas from another daemon, which may come before the configuration. */
+    void onQuotaLevels(final Map<String, Long> levels) {
+        if (mConfiguration == null) {
+            mEarlyLevels = levels;
+        } else {
+            mQuota.onLevels(levels);
+        }
     }
 
     @Override
@@ -154,11 +179,7 @@
     public void onRequest(final CallerRequest request) {
         final RelayConfiguration configuration = mConfiguration;
         if (configuration == null) {
-            refuse(
-                    request,
-                    HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    "no configuration is known",
-                    NO_CONFIGURATION_RETURN_MILLIS);
+            mEarly.add(request);
             return;
         }
         final Optional<Route> found =
@@ -186,6 +207,7 @@
 
     @Override
     public void onCallerGone(final CallerRequest request) {
+        mEarly.remove(request);
         final RelayCall call = mByRequest.get(request);
         if (call != null) {
             mScheduler.remove(call);
@@ -210,10 +232,23 @@
                 checkStall(call, nowNanos);
             }
         }
+        refuseEarly(nowNanos);
         mCrashes.onTimer(mActive, nowNanos, this::onCrash);
         mScheduler.placeAll();
     }
 
+    /** A daemon that starts knows its configuration within a moment, or not for long. */
+    private void refuseEarly(final long nowNanos) {
+        while (!mEarly.isEmpty()
+                && nowNanos - mEarly.get(0).arrivedNanos() > NO_CONFIGURATION_HOLD_NANOS) {
+            refuse(
+                    mEarly.remove(0),
+                    HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    "no configuration is known",
+                    NO_CONFIGURATION_RETURN_MILLIS);
+        }
+    }
+
     private void onCrash(final Replica replica, final Collection<RelayCall> calls) {
         mLog.crashed(replica, calls.size());
         mSuspects.onCrash(replica, calls, nowNanos());
