--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CrashWatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CrashWatch.java
@@ -8,15 +8,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
- * Tells the crash of a replica from a single broken connection: a crash breaks all requests that
- * run there within a moment. Not thread safe.
+ * Tells the crash of a replica from a single broken connection: a crash breaks all connections to
+ * it within a moment, kept ones included. Not thread safe.
  */
 final class CrashWatch {
     /** Connections of a process that ends break within a few milliseconds of each other. */
     private static final long WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
 
+    private final Predicate<Replica> mIsConnected;
     private final Map<Replica, Breaks> mBreaks = new HashMap<>();
 
     /** Holds the attempts that broke at one replica. */
@@ -40,6 +42,15 @@
         void onCrash(Replica replica, Collection<RelayCall> calls);
     }
 
+    /**
+     * Creates a watch.
+     *
+     * @param isConnected tells whether a kept connection to a replica is open
+     */
+    CrashWatch(final Predicate<Replica> isConnected) {
+        mIsConnected = isConnected;
+    }
+
     /** Notes that the connection of an attempt broke before its answer was whole. */
     void onBroken(final RelayCall call, final long nowNanos) {
         mBreaks.computeIfAbsent(call.replica(), replica -> new Breaks(nowNanos)).mCalls.add(call);
@@ -55,7 +66,8 @@
                 continue;
             }
             all.remove();
-            if (active.stream().noneMatch(call -> ranBefore(call, entry.getKey(), breaks))) {
+            if (!mIsConnected.test(entry.getKey())
+                    && active.stream().noneMatch(call -> ranBefore(call, entry.getKey(), breaks))) {
                 listener.onCrash(entry.getKey(), breaks.mCalls);
             }
         }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -20,7 +20,6 @@
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.directory.DirectoryListener;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,9 +39,6 @@
     /** Attempts end this long before their deadline, so that the answer still arrives. */
     private static final double DEADLINE_MARGIN_MILLIS = 50;
 
-    /** Callers that come too early for a configuration are held for this time. */
-    private static final long NO_CONFIGURATION_HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
-
     /** Callers that come too early for a configuration return after this time. */
     private static final long NO_CONFIGURATION_RETURN_MILLIS = 300;
 
@@ -67,12 +63,12 @@
     private final StallRule mStalls = new StallRule();
     private final FleetQuota mQuota;
     private final RetryBudget mBudget;
-    private final CrashWatch mCrashes = new CrashWatch();
+    private final CrashWatch mCrashes;
     private final CrashSuspects mSuspects = new CrashSuspects();
     private final OutputLengths mLengths = new OutputLengths();
     private final RelayScheduler mScheduler;
     private final Set<RelayCall> mActive = new LinkedHashSet<>();
-    private final List<CallerRequest> mEarly = new ArrayList<>();
+    private final EarlyCallers mEarly = new EarlyCallers();
     private Map<String, Long> mEarlyLevels = Map.of();
     private final Map<CallerRequest, RelayCall> mByRequest = new HashMap<>();
     private final CallerPatience mPatience = new CallerPatience();
@@ -93,6 +89,7 @@
         mDialect = dialect;
         mRequests = new UpstreamRequests(dialect);
         mConnections = connections;
+        mCrashes = new CrashWatch(connections::hasOpen);
         mBudget = budget;
         mQuota = quota;
         mRandom = new SplittableRandom(seed);
@@ -155,9 +152,7 @@
         mQuota.configure(configuration.customers(), nowNanos());
         mQuota.onLevels(mEarlyLevels);
         mEarlyLevels = Map.of();
-        final List<CallerRequest> early = List.copyOf(mEarly);
-        mEarly.clear();
-        early.forEach(this::onRequest);
+        mEarly.takeAll().forEach(this::onRequest);
     }
 
     /** Takes the levels of quotas from another daemon, which may come before the configuration. */
@@ -232,21 +227,15 @@
                 checkStall(call, nowNanos);
             }
         }
-        refuseEarly(nowNanos);
-        mCrashes.onTimer(mActive, nowNanos, this::onCrash);
-        mScheduler.placeAll();
-    }
-
-    /** A daemon that starts knows its configuration within a moment, or not for long. */
-    private void refuseEarly(final long nowNanos) {
-        while (!mEarly.isEmpty()
-                && nowNanos - mEarly.get(0).arrivedNanos() > NO_CONFIGURATION_HOLD_NANOS) {
+        for (final CallerRequest request : mEarly.takeOverdue(nowNanos)) {
             refuse(
-                    mEarly.remove(0),
+                    request,
                     HttpResponseStatus.SERVICE_UNAVAILABLE,
                     "no configuration is known",
                     NO_CONFIGURATION_RETURN_MILLIS);
         }
+        mCrashes.onTimer(mActive, nowNanos, this::onCrash);
+        mScheduler.placeAll();
     }
 
     private void onCrash(final Replica replica, final Collection<RelayCall> calls) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnections.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnections.java
@@ -105,6 +105,12 @@
         }
     }
 
+    /** Tells whether a kept connection to a replica is still open, so that the replica lives. */
+    boolean hasOpen(final Replica replica) {
+        final Deque<UpstreamConnection> idle = mIdle.get(replica);
+        return idle != null && idle.stream().anyMatch(UpstreamConnection::isOpen);
+    }
+
     /** Closes connections that were idle for too long. */
     void closeIdle() {
         final long now = nowNanos();
