--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -28,8 +28,15 @@
     /** Weight of a full replica against an empty one, in milliseconds. */
     private static final double LOAD_MILLIS = 120.0;
 
-    /** Prompts that are read delay the tokens of all requests that run beside them. */
-    private static final double HARM_WEIGHT = 1.0;
+    /**
+     * Weight of a request whose tokens pause for too long while a prompt is read, in milliseconds.
+     */
+    private static final double HARM_MILLIS = 60.0;
+
+    /** Parts of the longest pause at which reading begins to harm, and from which it harms all. */
+    private static final double HARM_FROM = 0.5;
+
+    private static final double HARM_FULL = 0.9;
 
     /** Part of the mean error of predictions that is added to the next ones. */
     private static final double ERROR_SHARE = 0.5;
@@ -157,7 +164,7 @@
                 first
                         + ownPrefill * (PREFILL_WEIGHT - 1.0)
                         + LOAD_MILLIS * load / slots
-                        + HARM_WEIGHT * prefill * Math.min(1.0, load / slots)
+                        + harm(work, prefill, Math.min(load, slots))
                         + late
                         + FAILURE_MILLIS * replica.health().failureRate()
                         + (replica.health().isOnProbation() ? PROBATION_MILLIS : 0.0)
@@ -165,6 +172,19 @@
         return new Choice(replica, first, wait, total, unread, load, score);
     }
 
+    /**
+     * Prompts are read in pieces between the tokens of the requests that run, so that reading a
+     * long one on a slow replica makes all of them late.
+     */
+    private static double harm(final WorkSize work, final double prefill, final double running) {
+        if (work.pauseMillis() <= 0) {
+            return 0;
+        }
+        final double part = prefill / work.pauseMillis();
+        final double harmed = (part - HARM_FROM) / (HARM_FULL - HARM_FROM);
+        return HARM_MILLIS * running * Math.max(0.0, Math.min(1.0, harmed));
+    }
+
     private int unread(final WorkSize work, final Replica replica, final Replica[] homes) {
         final int unread = Math.max(0, work.promptTokens() - mKept.tokens(work, replica));
         for (int rank = 0; rank < homes.length; rank++) {
--- a/core/src/main/java/io/persimmonreel/core/placement/WorkSize.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/WorkSize.java
@@ -7,11 +7,14 @@
  *
  * @param promptTokens the prompt tokens, 0 for a plain service
  * @param outputTokens the estimated output tokens, 0 for a plain service
+ * @param pauseMillis the longest pause between events that is on time, in milliseconds, 0 if pauses
+ *     do not count
  * @param parts the parts of the prompt in order
  */
-public record WorkSize(int promptTokens, int outputTokens, List<PromptPart> parts) {
+public record WorkSize(
+        int promptTokens, int outputTokens, double pauseMillis, List<PromptPart> parts) {
     /** A request to a plain service. */
-    public static final WorkSize PLAIN = new WorkSize(0, 0, List.of());
+    public static final WorkSize PLAIN = new WorkSize(0, 0, 0, List.of());
 
     /** Copies the list of parts. */
     public WorkSize {
--- a/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -33,7 +33,7 @@
     }
 
     private static WorkSize session(final long hash) {
-        return new WorkSize(6_000, 300, List.of(new PromptPart(hash, 6_000)));
+        return new WorkSize(6_000, 300, 300, List.of(new PromptPart(hash, 6_000)));
     }
 
     /** The load of sessions that come again: their prompts should not be read twice. */
@@ -106,7 +106,7 @@
             for (int i = 0; i < 6; i++) {
                 mReplicas.get(4).onSent(0);
             }
-            assertThat(choose(new WorkSize(100, 3_000, List.of()), 15_000))
+            assertThat(choose(new WorkSize(100, 3_000, 300, List.of()), 15_000))
                     .isSameAs(mReplicas.get(4));
         }
 
@@ -119,7 +119,7 @@
             }
             final Map<Replica, Integer> chosen = new HashMap<>();
             for (int i = 0; i < 20; i++) {
-                final Replica replica = choose(new WorkSize(100, 20, List.of()), 3_000);
+                final Replica replica = choose(new WorkSize(100, 20, 300, List.of()), 3_000);
                 replica.onSent(100);
                 chosen.merge(replica, 1, Integer::sum);
             }
@@ -127,13 +127,28 @@
             assertThat(chosen).hasSize(5);
         }
 
+        /** Reading a long prompt on a slow replica stops the tokens of all requests there. */
+        @Test
+        void keepLongPromptsFromSlowReplicasWithStreams() {
+            for (int i = 0; i < 5; i++) {
+                mReplicas.get(i).onPrefillTime(i == 0 ? 45 : 15);
+                for (int running = 0; running < (i == 0 ? 3 : 8); running++) {
+                    mReplicas.get(i).onSent(0);
+                }
+            }
+            for (int i = 0; i < 20; i++) {
+                assertThat(choose(new WorkSize(6_600, 300, 300, List.of()), 15_000))
+                        .isNotSameAs(mReplicas.get(0));
+            }
+        }
+
         /** A long prompt that was just sent is not followed by short ones. */
         @Test
         void keepShortRequestsFromQueueingBehindLongPrompts() {
             mReplicas.forEach(replica -> replica.onPrefillTime(15));
             mReplicas.get(0).onSent(50_000);
             for (int i = 0; i < 20; i++) {
-                assertThat(choose(new WorkSize(100, 20, List.of()), 3_000))
+                assertThat(choose(new WorkSize(100, 20, 300, List.of()), 3_000))
                         .isNotSameAs(mReplicas.get(0));
             }
         }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -427,6 +427,7 @@
         return new WorkSize(
                 Math.max(0, head.promptTokens()),
                 mLengths.estimate(route.name(), head),
+                route.pauseObjectiveMillis(),
                 head.parts());
     }
 
