Split acceptance from the relay's service, share the timer service and the metrics

No change of behaviour: RequestGate finds route, customer and quota; ScheduledTimerService runs on an event loop, too; MetricSet registers the metrics of both daemons.

--- a/daemon/src/main/java/io/persimmonreel/daemon/operator/DaemonMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/operator/DaemonMetrics.java
@@ -5,11 +5,7 @@
 import io.persimmonreel.daemon.request.RequestObserver;
 import io.persimmonreel.daemon.request.RequestSummary;
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.function.DoubleSupplier;
 
@@ -26,7 +22,7 @@
         0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300, 600
     };
 
-    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final MetricSet mMetrics = new MetricSet();
     private final Counter mRequests;
     private final Counter mRefusals;
     private final Counter mGood;
@@ -97,11 +93,7 @@
     }
 
     void gauge(final String name, final String help, final DoubleSupplier value) {
-        GaugeWithCallback.builder()
-                .name(name)
-                .help(help)
-                .callback(callback -> callback.call(value.getAsDouble()))
-                .register(mRegistry);
+        mMetrics.gauge(name, help, value);
     }
 
     @Override
@@ -140,22 +132,14 @@
      * @throws IOException if the metrics can't be written
      */
     public byte[] write() throws IOException {
-        final ByteArrayOutputStream out = new ByteArrayOutputStream();
-        PrometheusTextFormatWriter.create().write(out, mRegistry.scrape());
-        return out.toByteArray();
+        return mMetrics.write();
     }
 
     private Counter counter(final String name, final String help, final String... labels) {
-        return Counter.builder().name(name).help(help).labelNames(labels).register(mRegistry);
+        return mMetrics.counter(name, help, labels);
     }
 
     private Histogram histogram(final String name, final String help) {
-        return Histogram.builder()
-                .name(name)
-                .help(help)
-                .labelNames("service", "tier")
-                .classicOnly()
-                .classicUpperBounds(SECONDS)
-                .register(mRegistry);
+        return mMetrics.histogram(name, help, SECONDS, "service", "tier");
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -20,6 +20,7 @@
 import io.persimmonreel.daemon.peer.PeerIdentity;
 import io.persimmonreel.daemon.peer.PeerTransport;
 import io.persimmonreel.daemon.settings.FleetSecret;
+import io.persimmonreel.daemon.time.ScheduledTimerService;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
@@ -64,7 +65,7 @@
     private final EventLog mLog;
     private final NioEventLoopGroup mGroup =
             new NioEventLoopGroup(1, new DefaultThreadFactory("relay", true));
-    private final EventLoopTimerService mTimers;
+    private final TimerService mTimers;
     private final RelayMetrics mMetrics = new RelayMetrics();
     private final RelayService mService;
     private final RelayListener mListener;
@@ -113,7 +114,7 @@
         mSettings = settings;
         mTime = time;
         mLog = log;
-        mTimers = new EventLoopTimerService(mGroup.next(), time);
+        mTimers = new ScheduledTimerService(time, mGroup.next());
         final SecureRandom random = new SecureRandom();
         final long seed = random.nextLong();
         final RetryBudget budget = new RetryBudget(settings.retryRatio(), settings.retrySlack());
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -1,11 +1,8 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.daemon.operator.MetricSet;
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.function.DoubleSupplier;
 
@@ -21,7 +18,7 @@
         0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15, 30
     };
 
-    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final MetricSet mMetrics = new MetricSet();
     private final Counter mRequests =
             counter(
                     "persimmonreel_relay_requests_total",
@@ -68,30 +65,18 @@
     }
 
     void gauge(final String name, final String help, final DoubleSupplier value) {
-        GaugeWithCallback.builder()
-                .name(name)
-                .help(help)
-                .callback(callback -> callback.call(value.getAsDouble()))
-                .register(mRegistry);
+        mMetrics.gauge(name, help, value);
     }
 
     byte[] write() throws IOException {
-        final ByteArrayOutputStream out = new ByteArrayOutputStream();
-        PrometheusTextFormatWriter.create().write(out, mRegistry.scrape());
-        return out.toByteArray();
+        return mMetrics.write();
     }
 
     private Counter counter(final String name, final String help, final String... labels) {
-        return Counter.builder().name(name).help(help).labelNames(labels).register(mRegistry);
+        return mMetrics.counter(name, help, labels);
     }
 
     private Histogram histogram(final String name, final String help) {
-        return Histogram.builder()
-                .name(name)
-                .help(help)
-                .labelNames("upstream", "rank")
-                .classicOnly()
-                .classicUpperBounds(SECONDS)
-                .register(mRegistry);
+        return mMetrics.histogram(name, help, SECONDS, "upstream", "rank");
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.persimmonreel.core.placement.WorkSize;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
@@ -15,8 +14,6 @@
 import io.persimmonreel.core.route.CallerLimits;
 import io.persimmonreel.core.route.EngineProfile;
 import io.persimmonreel.core.route.RelayConfiguration;
-import io.persimmonreel.core.route.RelayCustomer;
-import io.persimmonreel.core.route.Route;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.directory.DirectoryListener;
 import java.nio.charset.StandardCharsets;
@@ -26,14 +23,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 
 /**
- * Decides what happens to each relayed request: its route, its customer, its replica, and whether
- * it is sent again. All methods run on the event loop.
+ * Follows each relayed request from its acceptance to its end and decides whether it is sent again.
+ * All methods run on the event loop.
  */
 final class RelayService implements CallerEvents, DirectoryListener {
     /** Attempts end this long before their deadline, so that the answer still arrives. */
@@ -45,9 +39,6 @@
     /** Callers of content that crashes replicas are told to stay away for this time. */
     private static final long QUARANTINE_RETURN_MILLIS = 10_000;
 
-    /** Attempts looked at in one pass; the rest would not find room either. */
-    private static final int HELD_IN_A_PASS = 8;
-
     /** Prompts of this size show the speed of reading; shorter ones show the fixed cost. */
     private static final int LONG_PROMPT_TOKENS = 1_500;
 
@@ -71,8 +62,7 @@
     private final EarlyCallers mEarly = new EarlyCallers();
     private Map<String, Long> mEarlyLevels = Map.of();
     private final Map<CallerRequest, RelayCall> mByRequest = new HashMap<>();
-    private final CallerPatience mPatience = new CallerPatience();
-    private final SplittableRandom mRandom;
+    private final RequestGate mGate;
     private volatile RelayConfiguration mConfiguration;
     private long mHeldBytes;
 
@@ -92,7 +82,7 @@
         mCrashes = new CrashWatch(connections::hasOpen);
         mBudget = budget;
         mQuota = quota;
-        mRandom = new SplittableRandom(seed);
+        mGate = new RequestGate(quota, mLengths, seed);
         mScheduler = new RelayScheduler(this, log, seed + 1);
     }
 
@@ -177,27 +167,13 @@
             mEarly.add(request);
             return;
         }
-        final Optional<Route> found =
-                configuration
-                        .routes()
-                        .find(
-                                request.request().headers().get(HttpHeaderNames.HOST),
-                                request.request().uri());
-        if (found.isEmpty()) {
-            refuse(request, HttpResponseStatus.NOT_FOUND, "no route matches", 0);
-            return;
-        }
-        final Route route = found.get();
-        RelayCustomer customer = null;
-        if (configuration.needsKey(route)) {
-            final Optional<RelayCustomer> holder = configuration.customerOf(request.head().key());
-            if (holder.isEmpty()) {
-                refuse(request, HttpResponseStatus.UNAUTHORIZED, "the key is unknown", 0);
-                return;
-            }
-            customer = holder.get();
+        final RequestGate.Verdict verdict = mGate.admit(request, configuration, nowNanos());
+        if (verdict.refusal() != null) {
+            final RelayRefusal refusal = verdict.refusal();
+            refuse(request, refusal.status(), refusal.reason(), verdict.returnMillis());
+        } else {
+            accept(new RelayCall(verdict.task(), this));
         }
-        accept(request, configuration, route, customer);
     }
 
     @Override
@@ -363,74 +339,23 @@
         mScheduler.place(call.task().upstream());
     }
 
-    private void accept(
-            final CallerRequest request,
-            final RelayConfiguration configuration,
-            final Route route,
-            final RelayCustomer customer) {
-        final long now = nowNanos();
-        final long units = customer == null ? 0 : customer.units(request.head().quotaTokens());
-        if (customer != null && !mQuota.use(customer, units, now)) {
+    private void accept(final RelayCall call) {
+        final RelayTask task = call.task();
+        if (mSuspects.isStopped(call, nowNanos())) {
             refuse(
-                    request,
-                    HttpResponseStatus.TOO_MANY_REQUESTS,
-                    "the quota of " + customer.name() + " is used up",
-                    Math.max(
-                            NO_CONFIGURATION_RETURN_MILLIS, mQuota.millisUntilAvailable(customer)));
-            return;
-        }
-        final RelayCall call = newCall(request, configuration, route, customer, units);
-        if (mSuspects.isStopped(call, now)) {
-            refuse(
-                    request,
+                    task.request(),
                     HttpResponseStatus.SERVICE_UNAVAILABLE,
                     "requests of this content crashed replicas",
                     QUARANTINE_RETURN_MILLIS);
             return;
         }
         mActive.add(call);
-        mByRequest.put(request, call);
-        mHeldBytes += request.body().readableBytes();
-        mBudget.onRequest(call.task().upstream());
+        mByRequest.put(task.request(), call);
+        mHeldBytes += task.request().body().readableBytes();
+        mBudget.onRequest(task.upstream());
         mScheduler.submit(call);
     }
 
-    private RelayCall newCall(
-            final CallerRequest request,
-            final RelayConfiguration configuration,
-            final Route route,
-            final RelayCustomer customer,
-            final long units) {
-        final String upstream = route.pickUpstream(mRandom.nextDouble());
-        final long deadline = request.head().deadlineMillis();
-        final double waitedBefore = mPatience.onDeadline(route.name(), deadline);
-        final long millis =
-                deadline > 0 ? Math.min(deadline, route.timeoutMillis()) : route.timeoutMillis();
-        final WorkSize work =
-                configuration.upstream(upstream).flatMap(pool -> pool.engine()).isPresent()
-                        ? workOf(route, request.head())
-                        : WorkSize.PLAIN;
-        return new RelayCall(
-                new RelayTask(
-                        request,
-                        route,
-                        upstream,
-                        customer,
-                        units,
-                        work,
-                        waitedBefore,
-                        request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis)),
-                this);
-    }
-
-    private WorkSize workOf(final Route route, final CallerHead head) {
-        return new WorkSize(
-                Math.max(0, head.promptTokens()),
-                mLengths.estimate(route.name(), head),
-                route.pauseObjectiveMillis(),
-                head.parts());
-    }
-
     private void refuse(
             final CallerRequest request,
             final HttpResponseStatus status,
--- a/daemon/src/main/java/io/persimmonreel/daemon/time/ScheduledTimerService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/time/ScheduledTimerService.java
@@ -7,12 +7,13 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Runs timer listeners on a small thread pool.
+ * Runs timer listeners on a thread pool or on an event loop.
  *
  * <p>A listener that throws is logged and stays subscribed. Instances are thread safe.
  */
@@ -20,18 +21,42 @@
     private static final Logger LOG = System.getLogger(ScheduledTimerService.class.getName());
 
     private final TimeSource mTime;
-    private final ScheduledThreadPoolExecutor mExecutor;
+    private final ScheduledExecutorService mExecutor;
+    private final boolean mFixedRate;
 
     /**
-     * Creates a timer service.
+     * Creates a timer service with threads of its own, which calls listeners at a fixed rate.
      *
      * @param time the clock that is passed to listeners
      * @param threads the number of threads, at least 1
      */
     public ScheduledTimerService(final TimeSource time, final int threads) {
+        this(time, threadPool(threads), true);
+    }
+
+    /**
+     * Creates a timer service on threads of another part. It calls listeners at a fixed delay,
+     * since after a pause of the process a fixed rate would call them many times in a row.
+     *
+     * @param time the clock that is passed to listeners
+     * @param executor the threads, which end with the service
+     */
+    public ScheduledTimerService(final TimeSource time, final ScheduledExecutorService executor) {
+        this(time, executor, false);
+    }
+
+    private ScheduledTimerService(
+            final TimeSource time,
+            final ScheduledExecutorService executor,
+            final boolean fixedRate) {
         mTime = Objects.requireNonNull(time, "time");
+        mExecutor = Objects.requireNonNull(executor, "executor");
+        mFixedRate = fixedRate;
+    }
+
+    private static ScheduledExecutorService threadPool(final int threads) {
         final AtomicInteger number = new AtomicInteger();
-        mExecutor =
+        final ScheduledThreadPoolExecutor pool =
                 new ScheduledThreadPoolExecutor(
                         threads,
                         task -> {
@@ -40,16 +65,20 @@
                             thread.setDaemon(true);
                             return thread;
                         });
-        mExecutor.setRemoveOnCancelPolicy(true);
+        pool.setRemoveOnCancelPolicy(true);
+        return pool;
     }
 
     @Override
     public Subscription every(
             final String name, final Duration interval, final TimerListener listener) {
         final long nanos = interval.toNanos();
+        final Runnable task = () -> call(name, listener);
         return subscription(
-                mExecutor.scheduleAtFixedRate(
-                        () -> call(name, listener), nanos, nanos, TimeUnit.NANOSECONDS));
+                mFixedRate
+                        ? mExecutor.scheduleAtFixedRate(task, nanos, nanos, TimeUnit.NANOSECONDS)
+                        : mExecutor.scheduleWithFixedDelay(
+                                task, nanos, nanos, TimeUnit.NANOSECONDS));
     }
 
     @Override
