--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -31,7 +31,6 @@
  * @param retryRatio the retries that each request earns for the fleet
  * @param retrySlack the retries that the fleet may make in a window beyond that
  * @param quotaTolerance what is tolerated beyond the quotas of customers
- * @param deliverySlack the delay that an event of a stream may have
  */
 public record RelaySettings(
         String name,
@@ -46,8 +45,7 @@
         Duration drain,
         double retryRatio,
         double retrySlack,
-        QuotaTolerance quotaTolerance,
-        Duration deliverySlack) {
+        QuotaTolerance quotaTolerance) {
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
@@ -89,8 +87,7 @@
                 reader.number("retryRatio"),
                 reader.number("retrySlack"),
                 new QuotaTolerance(
-                        reader.number("quotaOvershoot"), reader.number("quotaTolerance")),
-                Duration.ofMillis((long) reader.number("deliverySlackMillis")));
+                        reader.number("quotaOvershoot"), reader.number("quotaTolerance")));
     }
 
     /** Reads fields and names the field in errors. */
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayRig.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayRig.java
@@ -166,7 +166,7 @@
         return new RelayConfiguration(
                 version,
                 new RouteTable(routes),
-                List.of(new UpstreamPool("app", "/health", 100, Optional.empty())),
+                List.of(new UpstreamPool("app", Optional.empty())),
                 new CallerLimits(4_096, 65_536, 1_000, 2_000),
                 List.of(
                         new RelayCustomer(
@@ -230,8 +230,7 @@
                 Duration.ofSeconds(2),
                 1.0,
                 50,
-                new QuotaTolerance(0, 0),
-                Duration.ofMillis(100));
+                new QuotaTolerance(0, 0));
     }
 
     private static DirectorySource.Document document(final String name, final String content) {
