Move the choice of peers out of Neighbours; hubs add up their peers' work once an interval

Cause: a hub added up the work of all its peers on every digest it received, 40 times a second in a fleet of 78, and again on every digest it sent. Neighbours mixed the choice of connections with the exchange. Also: CrashWatch takes replicas and attempts, so that RelayCall needs no method for tests; SettingsWatch parses the bytes that it compared; both dialects share DispatchFields; dead code is removed.

--- a/core/src/main/java/io/persimmonreel/core/membership/HubTopology.java
+++ b/core/src/main/java/io/persimmonreel/core/membership/HubTopology.java
@@ -29,7 +29,7 @@
     private static final Hasher64 HASHER = Hashing.komihash5_0();
 
     private final String mSelf;
-    private final List<String> mHubs;
+    private final Set<String> mHubs;
     private final Set<String> mMembers;
 
     /**
@@ -42,7 +42,7 @@
         mSelf = self;
         mMembers = new HashSet<>(others);
         mMembers.add(self);
-        mHubs = mMembers.size() <= MESH_UP_TO ? List.of() : hubs(mMembers);
+        mHubs = mMembers.size() <= MESH_UP_TO ? Set.of() : hubs(mMembers);
     }
 
     /**
@@ -116,10 +116,10 @@
         return ownHubs().stream().filter(heard::contains).findFirst();
     }
 
-    private static List<String> hubs(final Collection<String> members) {
+    private static Set<String> hubs(final Collection<String> members) {
         final int count = (int) Math.ceil(Math.sqrt(members.size()));
         final List<String> sorted = new ArrayList<>(members);
         sorted.sort(Comparator.comparingLong(HASHER::hashCharsToLong));
-        return List.copyOf(sorted.subList(0, count));
+        return Set.copyOf(sorted.subList(0, count));
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
@@ -18,6 +18,9 @@
     private static final String CUSTOMER = "Persimmonreel-Customer";
     private static final String NOT_RUN = "Persimmonreel-Not-Run";
     private static final String RESUME_AFTER = "Last-Event-ID";
+    private static final DispatchFields DISPATCH_FIELDS =
+            new DispatchFields(DEADLINE, REPLICA, CUSTOMER, RESUME_AFTER);
+
     private static final String BEARER = "Bearer ";
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final int UNKNOWN = -1;
@@ -44,14 +47,7 @@
     public void writeRequest(final HttpHeaders headers, final DispatchHead dispatch) {
         headers.remove(HttpHeaderNames.AUTHORIZATION);
         headers.remove(CUSTOMER);
-        headers.set(DEADLINE, dispatch.deadlineMillis());
-        headers.set(REPLICA, dispatch.replicaId());
-        if (dispatch.customer() != null) {
-            headers.set(CUSTOMER, dispatch.customer());
-        }
-        if (dispatch.resumeAfter() != null) {
-            headers.set(RESUME_AFTER, dispatch.resumeAfter());
-        }
+        DISPATCH_FIELDS.write(headers, dispatch);
     }
 
     @Override
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
@@ -17,9 +17,7 @@
 import io.persimmonreel.daemon.peer.PeerIdentity;
 import io.persimmonreel.daemon.peer.PeerListener;
 import io.persimmonreel.daemon.peer.PeerTransport;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -56,8 +54,7 @@
     /** Without any peer the daemon assumes a fleet of this size. */
     private static final int ASSUMED_FLEET = 6;
 
-    private final InetSocketAddress mAddress;
-    private final Set<InetSocketAddress> mSeeds;
+    private final PeerLinks mLinks;
     private final RelayService mService;
     private final FleetWork mWork;
     private final DirectoryState mDirectory;
@@ -69,7 +66,6 @@
     private final EventLog mLog;
     private final Map<Incarnation, Peer> mPeers = new HashMap<>();
     private final Map<String, Long> mKnown = new HashMap<>();
-    private HubTopology mTopology;
     private PeerTransport mTransport;
     private boolean mLeaving;
     private final long mStartNanos;
@@ -95,9 +91,7 @@
             final RetryBudget budget,
             final TimeSource time,
             final EventLog log) {
-        mAddress = settings.peerAddress();
-        mSeeds = new HashSet<>(settings.seeds());
-        mSeeds.remove(mAddress);
+        mLinks = new PeerLinks(settings.peerAddress(), settings.seeds());
         mService = service;
         mWork = new FleetWork(service.replicas(), service.quota());
         mDirectory = directory;
@@ -108,7 +102,6 @@
         mTime = time;
         mStartNanos = time.monotonicNanos();
         mLog = log;
-        mTopology = new HubTopology(text(mAddress), List.of());
     }
 
     void start(final PeerTransport transport) {
@@ -120,8 +113,7 @@
     void reload(final RelaySettings settings) {
         mRetryRatio = settings.retryRatio();
         mRetrySlack = settings.retrySlack();
-        mSeeds.addAll(settings.seeds());
-        mSeeds.remove(mAddress);
+        mLinks.addSeeds(settings.seeds());
         maintain();
     }
 
@@ -138,15 +130,20 @@
         mTransport.sendAll(mPeers.keySet(), notice);
     }
 
-    /** Sends digests to the peers that need them. */
+    /**
+     * Sends digests to the peers that need them.
+     *
+     * <p>A hub hears many digests in an interval, so it adds up the work of its peers here, once.
+     */
     void sendDigests(final long nowNanos) {
         mDigests++;
-        if (!mTopology.isMesh() && mDigests % LARGE_FLEET_EVERY != 0) {
+        applyWork(nowNanos);
+        if (!mLinks.topology().isMesh() && mDigests % LARGE_FLEET_EVERY != 0) {
             return;
         }
         final Map<String, Long> ownUse = mService.quota().takeUnreported();
         final Map<Incarnation, Map<String, Long>> peerUse = mWork.takeUse();
-        if (mTopology.isHub()) {
+        if (mLinks.topology().isHub()) {
             sendAsHub(ownUse, peerUse, nowNanos);
         } else {
             final Set<Incarnation> counting = countingPeers(nowNanos);
@@ -155,23 +152,20 @@
             mTransport.sendAll(counting, digest(1, mWork.own(), ownUse));
             mTransport.sendAll(others, digest(0, List.of(), Map.of()));
         }
-        applyWork(nowNanos);
     }
 
     /** Chooses peers anew, opens missing connections and closes those that are not needed. */
     void maintain() {
         final long now = mTime.monotonicNanos();
         mKnown.values().removeIf(heard -> now - heard > FORGET_NANOS);
-        final boolean wasMesh = mTopology.isMesh();
-        final boolean wasHub = mTopology.isHub();
-        mTopology = new HubTopology(text(mAddress), mKnown.keySet());
-        if (wasMesh != mTopology.isMesh() || wasHub != mTopology.isHub()) {
+        if (mLinks.onMembers(mKnown.keySet())) {
+            final HubTopology topology = mLinks.topology();
             mLog.event("peer", "role")
-                    .put("role", mTopology.isMesh() ? "mesh" : mTopology.isHub() ? "hub" : "leaf")
+                    .put("role", topology.isMesh() ? "mesh" : topology.isHub() ? "hub" : "leaf")
                     .put("members", mKnown.size() + 1)
                     .write();
         }
-        dial();
+        mTransport.connect(mLinks.missing(addresses()));
         closeUnneeded(now);
         updateMembers(now);
     }
@@ -184,7 +178,7 @@
         mTransport.send(
                 peer.incarnation(),
                 new RelayDigest(
-                        text(mAddress),
+                        mLinks.name(),
                         mLeaving,
                         0,
                         List.copyOf(mKnown.keySet()),
@@ -236,10 +230,10 @@
                 .put("replicas", notice.replicas().size())
                 .put("stopped", notice.quarantined())
                 .write();
-        if (mTopology.isHub()) {
+        if (mLinks.topology().isHub()) {
             final Set<Incarnation> next = new HashSet<>();
             for (final Map.Entry<Incarnation, Peer> peer : mPeers.entrySet()) {
-                final boolean toHub = mTopology.isHub(peer.getValue().mAddress);
+                final boolean toHub = mLinks.topology().isHub(peer.getValue().mAddress);
                 if (!peer.getKey().equals(from) && (!toHub || !isHub(from))) {
                     next.add(peer.getKey());
                 }
@@ -259,11 +253,13 @@
         note(digest.address(), now);
         digest.members().forEach(address -> note(address, now));
         askForDirectory(from, digest, now);
-        applyWork(now);
+        if (!mLinks.topology().isHub()) {
+            applyWork(now);
+        }
     }
 
     private void note(final String address, final long now) {
-        if (!address.equals(text(mAddress)) && parse(address) != null) {
+        if (mLinks.isOther(address)) {
             mKnown.put(address, now);
         }
     }
@@ -312,9 +308,9 @@
 
     private RelayDigest digest(
             final int daemons, final List<ReplicaWork> work, final Map<String, Long> use) {
-        final boolean lists = mTopology.isMesh() || mDigests % MEMBERS_EVERY == 0;
+        final boolean lists = mLinks.topology().isMesh() || mDigests % MEMBERS_EVERY == 0;
         return new RelayDigest(
-                text(mAddress),
+                mLinks.name(),
                 mLeaving,
                 daemons,
                 lists ? members() : List.of(),
@@ -326,7 +322,7 @@
 
     /** A leaf lists no members, since a daemon that is gone would be told on for ever. */
     private List<String> members() {
-        if (!mTopology.isMesh() && !mTopology.isHub()) {
+        if (mLinks.isLeaf()) {
             return List.of();
         }
         final List<String> members = new ArrayList<>();
@@ -339,13 +335,13 @@
     }
 
     private void applyWork(final long now) {
-        final boolean leaf = !mTopology.isMesh() && !mTopology.isHub();
+        final boolean leaf = mLinks.isLeaf();
         mWork.apply(leaf ? countingPeers(now) : mPeers.keySet(), leaf, now);
     }
 
     /** Returns the peers that count this daemon: all in a mesh, one hub for a leaf. */
     private Set<Incarnation> countingPeers(final long now) {
-        if (mTopology.isMesh() || mTopology.isHub()) {
+        if (!mLinks.isLeaf()) {
             return mPeers.keySet();
         }
         final Map<String, Incarnation> heard = new HashMap<>();
@@ -355,47 +351,31 @@
                         heard.put(peer.mAddress, incarnation);
                     }
                 });
-        return mTopology.countingHub(heard.keySet()).map(heard::get).map(Set::of).orElse(Set.of());
+        return mLinks.topology()
+                .countingHub(heard.keySet())
+                .map(heard::get)
+                .map(Set::of)
+                .orElse(Set.of());
     }
 
     private void updateMembers(final long now) {
         final int others = mWork.daemons(countingPeers(now), now);
-        final boolean leaf = !mTopology.isMesh() && !mTopology.isHub();
+        final boolean leaf = mLinks.isLeaf();
         final int heard = leaf ? Math.max(1, others) : 1 + others;
         final int known = Math.max(heard, mKnown.size() + 1);
-        final int assumed = known == 1 && !mSeeds.isEmpty() ? ASSUMED_FLEET : known;
+        final int assumed = known == 1 && mLinks.hasSeeds() ? ASSUMED_FLEET : known;
         mService.quota().onMembers(heard, assumed);
         mBudget.configure(mRetryRatio, mRetrySlack, assumed);
     }
 
-    /** Of two daemons of a mesh or two hubs, the one with the higher address connects. */
-    private void dial() {
-        final Set<InetSocketAddress> wanted = new HashSet<>();
-        for (final String address : mTopology.links()) {
-            final boolean equal = mTopology.isMesh() || mTopology.isHub();
-            if (!equal || text(mAddress).compareTo(address) > 0) {
-                wanted.add(parse(address));
-            }
-        }
-        if (mTopology.isMesh() || mPeers.isEmpty()) {
-            wanted.addAll(mSeeds);
-        }
-        mPeers.values().forEach(peer -> wanted.remove(parse(peer.mAddress)));
-        wanted.remove(mAddress);
-        mTransport.connect(wanted);
+    private List<String> addresses() {
+        return mPeers.values().stream().map(peer -> peer.mAddress).toList();
     }
 
     private void closeUnneeded(final long now) {
-        if (mTopology.isMesh()) {
-            return;
-        }
-        final Collection<String> links = mTopology.links();
         for (final Map.Entry<Incarnation, Peer> entry : Map.copyOf(mPeers).entrySet()) {
             final Peer peer = entry.getValue();
-            final boolean mayBeLeaf = mTopology.isHub() && !mTopology.isHub(peer.mAddress);
-            if (!mayBeLeaf
-                    && !links.contains(peer.mAddress)
-                    && now - peer.mSinceNanos > UNNEEDED_NANOS) {
+            if (!mLinks.isNeeded(peer.mAddress) && now - peer.mSinceNanos > UNNEEDED_NANOS) {
                 mTransport.disconnect(entry.getKey());
             }
         }
@@ -407,24 +387,10 @@
 
     private boolean isHub(final Incarnation incarnation) {
         final Peer peer = mPeers.get(incarnation);
-        return peer != null && mTopology.isHub(peer.mAddress);
+        return peer != null && mLinks.topology().isHub(peer.mAddress);
     }
 
     private long configVersion() {
         return mDirectory.configuration().map(RelayConfiguration::version).orElse(0L);
     }
-
-    private static String text(final InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
-    private static InetSocketAddress parse(final String address) {
-        final int colon = address.lastIndexOf(':');
-        try {
-            return new InetSocketAddress(
-                    address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-        } catch (final IndexOutOfBoundsException | IllegalArgumentException e) {
-            return null;
-        }
-    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -112,11 +112,6 @@
         return mHeadForwarded;
     }
 
-    /** Takes a send as the present one; tests use it to build attempts at a replica. */
-    void assume(final Sending sending) {
-        mSending = sending;
-    }
-
     /** Sends the attempt to the chosen replica. */
     void send(final Choice choice) {
         mPhase = Phase.CONNECTING;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayListener.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayListener.java
@@ -41,7 +41,6 @@
     private final long mMaximumHeldBytes;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private CallerEvents mEvents;
-    private Channel mServer;
     private boolean mLeaving;
 
     RelayListener(
@@ -78,11 +77,11 @@
                                     }
                                 });
         try {
-            mServer = bootstrap.bind(address).syncUninterruptibly().channel();
+            final Channel server = bootstrap.bind(address).syncUninterruptibly().channel();
+            return (InetSocketAddress) server.localAddress();
         } catch (final Exception e) {
             throw new IOException("relay: can't listen on " + address, e);
         }
-        return (InetSocketAddress) mServer.localAddress();
     }
 
     CallerEvents events() {
@@ -123,12 +122,6 @@
         List.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
     }
 
-    void closeServer() {
-        if (mServer != null) {
-            mServer.close();
-        }
-    }
-
     /** Ends connections that exceed the time limits. */
     void check(final long nowNanos) {
         final CallerLimits limits = mLimits.get();
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -54,7 +54,7 @@
     private final StallRule mStalls = new StallRule();
     private final FleetQuota mQuota;
     private final RetryBudget mBudget;
-    private final CrashWatch mCrashes;
+    private final CrashWatch<RelayCall> mCrashes;
     private final CrashSuspects mSuspects = new CrashSuspects();
     private final OutputLengths mLengths = new OutputLengths();
     private final RelayScheduler mScheduler;
@@ -79,7 +79,7 @@
         mDialect = dialect;
         mRequests = new UpstreamRequests(dialect);
         mConnections = connections;
-        mCrashes = new CrashWatch(connections::hasOpen);
+        mCrashes = new CrashWatch<>(connections::hasOpen);
         mBudget = budget;
         mQuota = quota;
         mGate = new RequestGate(quota, mLengths, seed);
@@ -210,10 +210,19 @@
                     "no configuration is known",
                     NO_CONFIGURATION_RETURN_MILLIS);
         }
-        mCrashes.onTimer(mActive, nowNanos, this::onCrash);
+        mCrashes.onTimer(this::isAnyOlderAt, nowNanos, this::onCrash);
         mScheduler.placeAll();
     }
 
+    private boolean isAnyOlderAt(final Replica replica, final long beforeNanos) {
+        return mActive.stream()
+                .anyMatch(
+                        call ->
+                                call.replica() == replica
+                                        && call.isAtReplica()
+                                        && call.sending().sentNanos() - beforeNanos < 0);
+    }
+
     private void onCrash(final Replica replica, final Collection<RelayCall> calls) {
         mLog.crashed(replica, calls.size());
         mSuspects.onCrash(replica, calls, nowNanos());
@@ -274,7 +283,7 @@
         if (replica.health().onFailure(nowNanos())) {
             mLog.avoided(replica, reason);
         }
-        mCrashes.onBroken(call, nowNanos());
+        mCrashes.onBroken(call.replica(), call, nowNanos());
     }
 
     void onReplicaError(final RelayCall call, final HttpResponseStatus status) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -62,16 +62,33 @@
      * @throws SettingsException if the file can't be read or a field is missing or malformed
      */
     public static RelaySettings read(final Path file) throws SettingsException {
-        final JsonNode root;
         try {
-            root = MAPPER.readTree(Files.readAllBytes(file));
+            return parse(file.toString(), Files.readAllBytes(file));
         } catch (final IOException e) {
             throw new SettingsException(file.toString(), e.toString());
         }
+    }
+
+    /**
+     * Parses the content of a settings file.
+     *
+     * @param name the name of the file, used in errors
+     * @param content a JSON object
+     * @return the settings
+     * @throws SettingsException if the content is no object or a field is missing or malformed
+     */
+    public static RelaySettings parse(final String name, final byte[] content)
+            throws SettingsException {
+        final JsonNode root;
+        try {
+            root = MAPPER.readTree(content);
+        } catch (final IOException e) {
+            throw new SettingsException(name, e.toString());
+        }
         if (root == null || !root.isObject()) {
-            throw new SettingsException(file.toString(), "the settings are not an object");
+            throw new SettingsException(name, "the settings are not an object");
         }
-        final Reader reader = new Reader(file, root);
+        final Reader reader = new Reader(name, root);
         final InetSocketAddress peer = reader.address("peerAddress");
         return new RelaySettings(
                 reader.text("name"),
@@ -91,7 +108,7 @@
     }
 
     /** Reads fields and names the field in errors. */
-    private record Reader(Path file, JsonNode root) {
+    private record Reader(String file, JsonNode root) {
         String text(final String field) throws SettingsException {
             final JsonNode node = root.get(field);
             if (node == null || !node.isTextual() || node.asText().isEmpty()) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/SettingsWatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/SettingsWatch.java
@@ -46,7 +46,7 @@
         }
         mContent = content;
         try {
-            final RelaySettings settings = RelaySettings.read(mFile);
+            final RelaySettings settings = RelaySettings.parse(mFile.toString(), content);
             mLog.event("settings", "reloaded").put("cause", cause).write();
             mConsumer.accept(settings);
         } catch (final SettingsException e) {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayPathTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayPathTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -70,6 +71,13 @@
         }
     }
 
+    /** Runs one script for the first request at any replica and another one for all later ones. */
+    private static void script(
+            final RelayRig rig, final int replicas, final Script first, final Script later) {
+        final AtomicBoolean started = new AtomicBoolean();
+        script(rig, replicas, e -> (started.getAndSet(true) ? later : first).answer(e));
+    }
+
     /** The answer of a replica comes back as it is, and the key does not reach the replica. */
     @Test
     void returnsTheAnswerUnchanged() throws Exception {
@@ -151,18 +159,11 @@
         @Test
         void isSentAgainIfItDidNotRun() throws Exception {
             try (RelayRig rig = new RelayRig(2)) {
-                final CountDownLatch first = new CountDownLatch(1);
                 script(
                         rig,
                         2,
-                        e -> {
-                            if (first.getCount() > 0) {
-                                first.countDown();
-                                answer(e, 503, "Persimmonreel-Not-Run: 1\r\n", "");
-                            } else {
-                                answer(e, 200, "ran");
-                            }
-                        });
+                        e -> answer(e, 503, "Persimmonreel-Not-Run: 1\r\n", ""),
+                        e -> answer(e, 200, "ran"));
                 assertThat(rig.call("POST", "/charge/1", ID, "x")).endsWith("ran");
             }
         }
@@ -247,18 +248,7 @@
         @Test
         void isSentAgainAfterABreak() throws Exception {
             try (RelayRig rig = new RelayRig(2)) {
-                final CountDownLatch first = new CountDownLatch(1);
-                script(
-                        rig,
-                        2,
-                        e -> {
-                            if (first.getCount() > 0) {
-                                first.countDown();
-                                e.socket().close();
-                            } else {
-                                answer(e, 200, "again");
-                            }
-                        });
+                script(rig, 2, e -> e.socket().close(), e -> answer(e, 200, "again"));
                 assertThat(rig.call("GET", "/lookup/1", ID, "")).endsWith("again");
                 RelayRig.await(() -> rig.log().contains("\"event\":\"resent\""));
             }
@@ -268,18 +258,7 @@
         @Test
         void isSentAgainAfterSilence() throws Exception {
             try (RelayRig rig = new RelayRig(2)) {
-                final CountDownLatch first = new CountDownLatch(1);
-                script(
-                        rig,
-                        2,
-                        e -> {
-                            if (first.getCount() > 0) {
-                                first.countDown();
-                                e.awaitClose();
-                            } else {
-                                answer(e, 200, "again");
-                            }
-                        });
+                script(rig, 2, e -> e.awaitClose(), e -> answer(e, 200, "again"));
                 assertThat(rig.call("GET", "/lookup/1", ID, "")).endsWith("again");
             }
         }
@@ -291,21 +270,19 @@
         @Test
         void areResumedAfterTheLastWholeEvent() throws Exception {
             try (RelayRig rig = new RelayRig(2)) {
-                final CountDownLatch first = new CountDownLatch(1);
                 script(
                         rig,
                         2,
                         e -> {
                             startEvents(e);
-                            if (first.getCount() > 0) {
-                                first.countDown();
-                                chunk(e, event(1) + event(2) + "id: 3\nda");
-                                e.socket().close();
-                            } else {
-                                assertThat(e.header("Last-Event-ID")).isEqualTo("2");
-                                chunk(e, event(2) + event(3));
-                                endEvents(e);
-                            }
+                            chunk(e, event(1) + event(2) + "id: 3\nda");
+                            e.socket().close();
+                        },
+                        e -> {
+                            startEvents(e);
+                            assertThat(e.header("Last-Event-ID")).isEqualTo("2");
+                            chunk(e, event(2) + event(3));
+                            endEvents(e);
                         });
                 final String answer = rig.call("POST", "/draft/1", ID, "x");
                 assertThat(answer)
