--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -42,12 +42,13 @@
     /** Bounds how late a deadline, a stall or a free replica is noticed. */
     private static final Duration TICK = Duration.ofMillis(40);
 
-    private static final Duration IDLE_TICK = Duration.ofMillis(160);
+    /** An idle relay wakes up at this interval; the other intervals are multiples of it. */
+    private static final Duration IDLE_TICK = Duration.ofMillis(200);
 
-    private static final Duration DIGEST_INTERVAL = Duration.ofMillis(200);
-    private static final Duration DIAL_INTERVAL = Duration.ofMillis(500);
+    private static final Duration DIGEST_INTERVAL = IDLE_TICK;
+    private static final Duration DIAL_INTERVAL = IDLE_TICK.multipliedBy(3);
+    private static final Duration CHECK_INTERVAL = IDLE_TICK.multipliedBy(3);
     private static final Duration QUARANTINE_INTERVAL = Duration.ofSeconds(30);
-    private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
     /** Digests come every 200 ms; a connection without any for this time is dead. */
     private static final Duration PEER_IDLE = Duration.ofMillis(2_000);
@@ -75,6 +76,7 @@
     private final PeerTransport mTransport;
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private volatile boolean mLeaving;
+    private boolean mTicking;
     private long mLeavingNanos;
     private InetSocketAddress mCallerAddress;
     private InetSocketAddress mReadinessAddress;
@@ -261,7 +263,7 @@
                 () -> mService.connections().opened());
         mWatch.start();
         mNeighbours.start(mTransport);
-        mTimers.after("relay", TICK, this::onTick);
+        mTimers.every("relay-idle", IDLE_TICK, this::onIdleTick);
         mTimers.every("digest", DIGEST_INTERVAL, mNeighbours::sendDigests);
         mTimers.every("quarantine", QUARANTINE_INTERVAL, mService.suspects()::onTimer);
         mTimers.every("dial", DIAL_INTERVAL, now -> mNeighbours.maintain());
@@ -274,10 +276,21 @@
                 });
     }
 
-    /** An idle relay wakes up less often, since each wake-up costs. */
+    /** Each wake-up costs, so that the short tick runs only while there are requests. */
+    private void onIdleTick(final long nowNanos) {
+        mService.onTimer(nowNanos);
+        if (!mTicking && !mService.isIdle()) {
+            mTicking = true;
+            mTimers.after("relay", TICK, this::onTick);
+        }
+    }
+
     private void onTick(final long nowNanos) {
-        mTimers.after("relay", mService.isIdle() ? IDLE_TICK : TICK, this::onTick);
         mService.onTimer(nowNanos);
+        mTicking = !mService.isIdle();
+        if (mTicking) {
+            mTimers.after("relay", TICK, this::onTick);
+        }
     }
 
     private boolean isReady() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/time/ScheduledTimerService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/time/ScheduledTimerService.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -35,8 +36,9 @@
     }
 
     /**
-     * Creates a timer service on threads of another part. It calls listeners at a fixed delay,
-     * since after a pause of the process a fixed rate would call them many times in a row.
+     * Creates a timer service on threads of another part. It calls listeners at multiples of their
+     * interval, so that those with intervals in common share a wake-up, and skips calls that a
+     * pause of the process made late.
      *
      * @param time the clock that is passed to listeners
      * @param executor the threads, which end with the service
@@ -73,12 +75,31 @@
     public Subscription every(
             final String name, final Duration interval, final TimerListener listener) {
         final long nanos = interval.toNanos();
-        final Runnable task = () -> call(name, listener);
-        return subscription(
-                mFixedRate
-                        ? mExecutor.scheduleAtFixedRate(task, nanos, nanos, TimeUnit.NANOSECONDS)
-                        : mExecutor.scheduleWithFixedDelay(
-                                task, nanos, nanos, TimeUnit.NANOSECONDS));
+        if (mFixedRate) {
+            return subscription(
+                    mExecutor.scheduleAtFixedRate(
+                            () -> call(name, listener), nanos, nanos, TimeUnit.NANOSECONDS));
+        }
+        final AtomicBoolean cancelled = new AtomicBoolean();
+        scheduleAtMultiple(name, nanos, listener, cancelled);
+        return () -> cancelled.set(true);
+    }
+
+    private void scheduleAtMultiple(
+            final String name,
+            final long intervalNanos,
+            final TimerListener listener,
+            final AtomicBoolean cancelled) {
+        final long now = mTime.monotonicNanos();
+        mExecutor.schedule(
+                () -> {
+                    if (!cancelled.get()) {
+                        call(name, listener);
+                        scheduleAtMultiple(name, intervalNanos, listener, cancelled);
+                    }
+                },
+                intervalNanos - Math.floorMod(now, intervalNanos),
+                TimeUnit.NANOSECONDS);
     }
 
     @Override
