--- a/cli/src/main/java/io/persimmonreel/cli/CheckSubcommand.java
+++ b/cli/src/main/java/io/persimmonreel/cli/CheckSubcommand.java
@@ -4,7 +4,7 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 
-/** Checks an operator text. */
+/** Checks an operator text or the settings of a relay. */
 final class CheckSubcommand implements Command {
     @Override
     public String name() {
@@ -13,12 +13,12 @@
 
     @Override
     public String summary() {
-        return "Check an operator text and print all findings.";
+        return "Check an operator text, or the settings of a relay (*.json).";
     }
 
     @Override
     public void declare(final FlagSet flags) {
-        flags.positional("file", "the operator text");
+        flags.positional("file", "the operator text, or settings as JSON");
     }
 
     @Override
--- a/cli/src/main/java/io/persimmonreel/cli/ExplainCommand.java
+++ b/cli/src/main/java/io/persimmonreel/cli/ExplainCommand.java
@@ -5,8 +5,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.persimmonreel.core.explain.DecisionRecord;
 import io.persimmonreel.core.explain.Story;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -34,6 +37,7 @@
     public void declare(final FlagSet flags) {
         flags.positional("request", "the request's id")
                 .value("operators", "127.0.0.1:9180", "operators' ports, by comma")
+                .value("log", "", "read log files of relays instead, by comma")
                 .toggle("json", "print the records as JSON");
     }
 
@@ -44,6 +48,9 @@
         if (!request.matches("[A-Za-z0-9._:-]{1,128}")) {
             throw new BadInputException("request: '" + request + "' is not a request id");
         }
+        if (flags.optional("log").isPresent()) {
+            return explainLogs(request, flags, out, err);
+        }
         final Map<String, JsonNode> answers =
                 new OperatorClient()
                         .read(flags.list("operators"), "/v1/explain/" + request, NOT_FOUND, err);
@@ -60,6 +67,25 @@
         return OK;
     }
 
+    private static int explainLogs(
+            final String request, final Flags flags, final PrintStream out, final PrintStream err)
+            throws BadInputException {
+        final LogStory story = new LogStory(request);
+        for (final String file : flags.list("log")) {
+            try (BufferedReader lines = Files.newBufferedReader(Path.of(file))) {
+                story.read(lines);
+            } catch (final IOException e) {
+                throw new BadInputException("log: can't read " + file + ": " + e);
+            }
+        }
+        (flags.isSet("json") ? story.json() : story.sentences()).forEach(out::println);
+        if (story.isEmpty()) {
+            err.println("explain: no line of " + request + "; routine lines are limited by rate");
+            return FAILURE;
+        }
+        return OK;
+    }
+
     /**
      * Joins the records of several daemons.
      *
