Divide the slots of engines among daemons behind hubs

SlotShares numbers all slots alike on every daemon and takes a range; silent daemons' slots go to the others. The fuller the replicas, the less is borrowed beyond one's own; an upstream with less than two slots a daemon is not divided.

--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -62,8 +62,25 @@
     /** Random part of a score in milliseconds, which keeps daemons from choosing alike. */
     private static final double JITTER_MILLIS = 12.0;
 
+    /**
+     * Part of the replicas that a request considers where slots are divided, besides those where
+     * the daemon has a free slot. With all replicas to choose from, daemons with old reports would
+     * fill the same idle one.
+     */
+    private static final double CONSIDERED_SHARE = 0.1;
+
+    /** Parts of all slots in use up to which slots of others are borrowed, and from which none. */
+    private static final double BORROW_UP_TO = 0.5;
+
+    private static final double BORROW_NONE = 0.75;
+
+    /** Part of a replica's slots that others may have taken since the reports were made. */
+    private static final double UNSEEN_SHARE = 0.4;
+
     private final KeptParts mKept;
     private final SplittableRandom mRandom;
+    private SlotShares mShares = SlotShares.UNDIVIDED;
+    private Borrowing mBorrowing = Borrowing.FREE;
 
     /**
      * Creates a placement.
@@ -76,6 +93,15 @@
         mRandom = new SplittableRandom(seed);
     }
 
+    /**
+     * Takes the division of the slots among daemons.
+     *
+     * @param shares this daemon's share
+     */
+    public void onShares(final SlotShares shares) {
+        mShares = shares;
+    }
+
     /**
      * Chooses a replica.
      *
@@ -92,6 +118,7 @@
             final Set<String> excluded,
             final double millisLeft,
             final long nowNanos) {
+        mBorrowing = borrowing(replicas, nowNanos);
         final Replica[] homes = homes(work, replicas, nowNanos);
         Choice best = null;
         boolean bestHealthy = false;
@@ -99,6 +126,9 @@
             if (replica.entry().draining() || excluded.contains(replica.entry().id())) {
                 continue;
             }
+            if (best != null && bestHealthy && !isConsidered(replica, homes)) {
+                continue;
+            }
             // Ejected replicas serve only if there is no other one.
             final boolean healthy = !replica.health().isEjected(nowNanos);
             if (best != null && bestHealthy && !healthy) {
@@ -141,8 +171,8 @@
             final Replica[] homes,
             final double millisLeft,
             final long nowNanos) {
-        final double load = replica.load(nowNanos);
         final int slots = replica.entry().slots();
+        final double load = load(replica, nowNanos);
         final double token = replica.tokenMillis(TYPICAL_TOKEN_MILLIS);
         final double decode = work.outputTokens() * token;
         final double prefillMicros =
@@ -185,6 +215,50 @@
         return HARM_MILLIS * running * Math.max(0.0, Math.min(1.0, harmed));
     }
 
+    /**
+     * Holds on which terms a request may use slots of other daemons.
+     *
+     * @param consideredShare the part of the replicas that is considered
+     * @param withheldShare the part of a replica's slots that is left to their owners
+     */
+    private record Borrowing(double consideredShare, double withheldShare) {
+        static final Borrowing FREE = new Borrowing(1.0, 0.0);
+    }
+
+    /** The more slots are in use, the less a daemon takes beyond its own. */
+    private Borrowing borrowing(final Collection<Replica> replicas, final long nowNanos) {
+        if (replicas.isEmpty()
+                || !mShares.isDivided(replicas.iterator().next().entry().upstream())) {
+            return Borrowing.FREE;
+        }
+        double load = 0;
+        int slots = 0;
+        for (final Replica replica : replicas) {
+            load += replica.load(nowNanos);
+            slots += replica.entry().slots();
+        }
+        final double busy =
+                Math.max(0, (load / slots - BORROW_UP_TO) / (BORROW_NONE - BORROW_UP_TO));
+        return new Borrowing(CONSIDERED_SHARE, UNSEEN_SHARE + busy * (1.0 - UNSEEN_SHARE));
+    }
+
+    /** A free slot of one's own counts more than what old reports say. */
+    private double load(final Replica replica, final long nowNanos) {
+        final double load = replica.load(nowNanos);
+        final int slots = replica.entry().slots();
+        if (mShares.hasFreeSlot(replica)) {
+            return Math.min(load, slots - 1.0);
+        }
+        return load + slots * mBorrowing.withheldShare();
+    }
+
+    private boolean isConsidered(final Replica replica, final Replica[] homes) {
+        return mBorrowing.consideredShare() >= 1.0
+                || mShares.hasFreeSlot(replica)
+                || homes.length > 0 && homes[0] == replica
+                || mRandom.nextDouble() < mBorrowing.consideredShare();
+    }
+
     private int unread(final WorkSize work, final Replica replica, final Replica[] homes) {
         final int unread = Math.max(0, work.promptTokens() - mKept.tokens(work, replica));
         for (int rank = 0; rank < homes.length; rank++) {
--- a/core/src/main/java/io/persimmonreel/core/replica/ReplicaSet.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/ReplicaSet.java
@@ -43,6 +43,15 @@
         return mSnapshot.byUpstream().getOrDefault(upstream, List.of());
     }
 
+    /**
+     * Returns the replicas of each upstream.
+     *
+     * @return the replicas of this moment by the upstream's name
+     */
+    public Map<String, List<Replica>> byUpstream() {
+        return mSnapshot.byUpstream();
+    }
+
     /**
      * Finds a replica.
      *
--- /dev/null
+++ b/core/src/test/java/io/persimmonreel/core/placement/SlotSharesTest.java
@@ -0,0 +1,93 @@
+package io.persimmonreel.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.replica.ReplicaEntry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class SlotSharesTest {
+    private static final int DAEMONS = 20;
+    private static final int SLOTS = 10;
+    private final List<Replica> mReplicas = new ArrayList<>();
+    private final List<String> mDaemons = new ArrayList<>();
+
+    SlotSharesTest() {
+        for (int i = 0; i < 7; i++) {
+            mReplicas.add(replica("r" + i, false));
+        }
+        for (int i = 0; i < DAEMONS; i++) {
+            mDaemons.add("d" + i);
+        }
+    }
+
+    private static Replica replica(final String id, final boolean draining) {
+        return new Replica(new ReplicaEntry(id, "llm", "10.0.0.1", 1, "z", SLOTS, draining, 1));
+    }
+
+    private SlotShares divide(final String self, final int heard) {
+        return SlotShares.divide(self, mDaemons, heard, Map.of("llm", mReplicas));
+    }
+
+    private int owned(final SlotShares shares) {
+        return mReplicas.stream().mapToInt(shares::slots).sum();
+    }
+
+    /** A slot with two owners fills twice, one without an owner stays empty under overload. */
+    @Test
+    void eachSlotHasOneOwner() {
+        final List<SlotShares> all = mDaemons.stream().map(self -> divide(self, DAEMONS)).toList();
+        for (final Replica replica : mReplicas) {
+            assertThat(all.stream().mapToInt(shares -> shares.slots(replica)).sum())
+                    .isEqualTo(SLOTS);
+        }
+        assertThat(all).allSatisfy(shares -> assertThat(owned(shares)).isBetween(3, 4));
+    }
+
+    /** A daemon whose slots are all at one replica stops when that replica is slow or gone. */
+    @Test
+    void slotsOfADaemonAreSpreadOverReplicas() {
+        final SlotShares shares = divide("d3", DAEMONS);
+        assertThat(mReplicas).allSatisfy(r -> assertThat(shares.slots(r)).isLessThanOrEqualTo(1));
+    }
+
+    /**
+     * The slots of daemons that fell silent would otherwise stay empty until they are forgotten.
+     */
+    @Test
+    void takesOverTheSlotsOfSilentDaemons() {
+        for (final String self : mDaemons) {
+            assertThat(owned(divide(self, DAEMONS / 2))).as(self).isBetween(6, 8);
+        }
+    }
+
+    @Test
+    void leavesDrainingReplicasOut() {
+        mReplicas.add(replica("leaving", true));
+        for (final String self : mDaemons) {
+            assertThat(divide(self, DAEMONS).slots(mReplicas.get(7))).isZero();
+        }
+    }
+
+    /** With less than two slots a daemon, most requests would find no slot of their own. */
+    @Test
+    void doesNotDivideFewSlots() {
+        final SlotShares shares =
+                SlotShares.divide("d0", mDaemons, DAEMONS, Map.of("llm", mReplicas.subList(0, 3)));
+        assertThat(shares.isDivided("llm")).isFalse();
+        assertThat(divide("d0", DAEMONS).isDivided("llm")).isTrue();
+    }
+
+    @Test
+    void countsRequestsInFlight() {
+        final SlotShares shares = divide("d0", DAEMONS);
+        final Replica own =
+                mReplicas.stream().filter(r -> shares.slots(r) == 1).findFirst().orElseThrow();
+        assertThat(shares.hasFreeSlot(own)).isTrue();
+        own.onSent(0);
+        assertThat(shares.hasFreeSlot(own)).isFalse();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
@@ -0,0 +1,370 @@
+package io.persimmonreel.core.placement;
+
+import io.persimmonreel.core.admission.Admission;
+import io.persimmonreel.core.placement.Placement.Choice;
+import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.replica.ReplicaEntry;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Plays a load in virtual time on daemons that place requests at engines, each with its own view.
+ *
+ * <p>Engines run a batch in which each further request slows all others, read prompts one after
+ * another between tokens, and queue the rest in order of arrival. Daemons hear of each other's work
+ * with a delay, as hubs of a large fleet pass it on.
+ */
+final class VirtualFleet {
+    /** Figures of the engines that the users publish: 3.9 ms a step, 66 prompt tokens a ms. */
+    private static final double STEP_MILLIS = 3.9;
+
+    private static final double STEP_MILLIS_PER_REQUEST = 0.5;
+    private static final double PROMPT_TOKENS_PER_MILLI = 66;
+    private static final double[] SLOWNESS = {1, 1, 1.3, 1.6, 2.2, 5};
+    private static final int TICK_MILLIS = 5;
+    private static final int PLACE_MILLIS = 40;
+    private static final int DEADLINE_MILLIS = 12_000;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final Size mSize;
+    private final SplittableRandom mRandom;
+    private final List<Engine> mEngines = new ArrayList<>();
+    private final List<Daemon> mDaemons = new ArrayList<>();
+    private final Deque<int[][]> mDigests = new ArrayDeque<>();
+    private final Map<Kind, Result> mResults = new HashMap<>();
+    private double mNow;
+
+    /** The kinds of request. */
+    enum Kind {
+        /** Long prompts and answers. */
+        REPORT(6_670, 385, 819, 0.23),
+        /** Short prompts and long answers. */
+        GUIDE(688, 294, 408, 0.385),
+        /** Long prompts and short answers. */
+        REPLY(1_860, 21, 410, 0.385);
+
+        private final int mPrompt;
+        private final int mOutput;
+        private final double mObjective;
+        private final double mShare;
+
+        Kind(final int prompt, final int output, final double objective, final double share) {
+            mPrompt = prompt;
+            mOutput = output;
+            mObjective = objective;
+            mShare = share;
+        }
+    }
+
+    /**
+     * Holds the size of a fleet and its load.
+     *
+     * @param daemons the daemons
+     * @param engines the engines
+     * @param slots requests that an engine runs at once
+     * @param perSecond requests a second
+     * @param staleMillis the age of what daemons hear of each other
+     * @param divided whether the slots of the engines are divided among the daemons
+     */
+    record Size(
+            int daemons,
+            int engines,
+            int slots,
+            double perSecond,
+            int staleMillis,
+            boolean divided) {}
+
+    /** Counts what callers got. */
+    static final class Result {
+        private int mAsked;
+        private int mInTime;
+        private int mLate;
+
+        int asked() {
+            return mAsked;
+        }
+
+        double late() {
+            return mAsked == 0 ? 0 : (double) mLate / mAsked;
+        }
+
+        double share() {
+            return mAsked == 0 ? 0 : (double) mInTime / mAsked;
+        }
+    }
+
+    /** Holds one request. */
+    private static final class Request {
+        private final Kind mKind;
+        private final WorkSize mWork;
+        private final double mArrived;
+        private double mPromptLeft;
+        private double mOutputLeft;
+        private double mFirst = -1;
+        private double mSent;
+        private Choice mChoice;
+        private Daemon mDaemon;
+
+        Request(final Kind kind, final WorkSize work, final double arrived, final int output) {
+            mKind = kind;
+            mWork = work;
+            mArrived = arrived;
+            mPromptLeft = work.promptTokens();
+            mOutputLeft = output;
+        }
+    }
+
+    /** Runs requests. */
+    private final class Engine {
+        private final ReplicaEntry mEntry;
+        private final double mSlowness;
+        private final List<Request> mRunning = new ArrayList<>();
+        private final Deque<Request> mQueue = new ArrayDeque<>();
+
+        Engine(final int number, final double slowness) {
+            mEntry =
+                    new ReplicaEntry(
+                            "e" + number, "llm", "10.0.0.1", 1, "z", mSize.slots(), false, 1);
+            mSlowness = slowness;
+        }
+
+        int load() {
+            return mRunning.size() + mQueue.size();
+        }
+
+        void tick() {
+            while (mRunning.size() < mSize.slots() && !mQueue.isEmpty()) {
+                mRunning.add(mQueue.poll());
+            }
+            double millis = TICK_MILLIS;
+            // Half of the time reads prompts while there are any, in order of arrival.
+            for (final Request request : mRunning) {
+                final double read =
+                        Math.min(request.mPromptLeft, millis * PROMPT_TOKENS_PER_MILLI / mSlowness);
+                request.mPromptLeft -= read;
+                millis -= read * mSlowness / PROMPT_TOKENS_PER_MILLI;
+            }
+            final double step =
+                    (STEP_MILLIS + STEP_MILLIS_PER_REQUEST * mRunning.size()) * mSlowness;
+            final double tokens = Math.max(millis, TICK_MILLIS * 0.25) / step;
+            final Iterator<Request> all = mRunning.iterator();
+            while (all.hasNext()) {
+                final Request request = all.next();
+                if (request.mPromptLeft > 0) {
+                    continue;
+                }
+                request.mOutputLeft -= tokens;
+                if (request.mFirst < 0) {
+                    request.mFirst = mNow;
+                    request.mDaemon.onFirst(request, this);
+                }
+                if (request.mOutputLeft <= 0) {
+                    all.remove();
+                    request.mDaemon.onEnd(request);
+                }
+            }
+        }
+    }
+
+    /** Places requests with a view of its own. */
+    private final class Daemon {
+        private final int mNumber;
+        private final List<Replica> mReplicas = new ArrayList<>();
+        private final KeptParts mKept = new KeptParts();
+        private final Placement mPlacement;
+        private final Admission mAdmission;
+        private final Deque<Request> mWaiting = new ArrayDeque<>();
+
+        Daemon(final int number, final long seed) {
+            mNumber = number;
+            mPlacement = new Placement(mKept, seed);
+            mAdmission = new Admission(seed + 1);
+            mEngines.forEach(engine -> mReplicas.add(new Replica(engine.mEntry)));
+            if (mSize.divided()) {
+                final List<String> others = new ArrayList<>();
+                for (int i = 0; i < mSize.daemons(); i++) {
+                    others.add("d" + i);
+                }
+                mPlacement.onShares(
+                        SlotShares.divide(
+                                "d" + number, others, mSize.daemons(), Map.of("llm", mReplicas)));
+            }
+        }
+
+        boolean place(final Request request) {
+            final long now = nanos();
+            final Optional<Choice> chosen =
+                    mPlacement.choose(request.mWork, mReplicas, Set.of(), left(request), now);
+            if (chosen.isEmpty()) {
+                return false;
+            }
+            final Choice choice = chosen.get();
+            final double waited = mNow - request.mArrived;
+            final Admission.Decision decision =
+                    mAdmission.decide(
+                            new Admission.Applicant(
+                                    request.mKind.mObjective, waited, waited, left(request), false),
+                            new Admission.Place(
+                                    choice.firstMillis(),
+                                    choice.waitMillis(),
+                                    choice.load(),
+                                    mSize.slots()));
+            if (decision.kind() == Admission.Kind.HOLD) {
+                return false;
+            }
+            if (decision.kind() == Admission.Kind.SEND) {
+                request.mChoice = choice;
+                request.mDaemon = this;
+                request.mSent = mNow;
+                choice.replica().onSent(choice.prefillTokens());
+                mEngines.get(mReplicas.indexOf(choice.replica())).mQueue.add(request);
+            }
+            return true;
+        }
+
+        void onFirst(final Request request, final Engine engine) {
+            final Replica replica = request.mChoice.replica();
+            final double first = mNow - request.mSent;
+            replica.onPrefilled(request.mChoice.prefillTokens());
+            replica.onPredictionError(first - request.mChoice.firstMillis());
+            if (request.mChoice.waitMillis() <= 0 && request.mChoice.prefillTokens() >= 1_000) {
+                replica.onPrefillTime(first * 1_000 / request.mChoice.prefillTokens());
+            }
+            replica.onObservedLoad(engine.load(), nanos());
+            final Result result = mResults.get(request.mKind);
+            if (mNow - request.mArrived <= request.mKind.mObjective) {
+                result.mInTime++;
+            } else {
+                result.mLate++;
+            }
+        }
+
+        void onEnd(final Request request) {
+            final Replica replica = request.mChoice.replica();
+            replica.onEnded();
+            final double stream = mNow - request.mFirst;
+            replica.onServed(Math.max(1, stream));
+            if (request.mKind.mOutput > 50) {
+                replica.onTokenTime(stream / request.mKind.mOutput);
+            }
+        }
+    }
+
+    VirtualFleet(final Size size, final long seed) {
+        mSize = size;
+        mRandom = new SplittableRandom(seed);
+        for (int i = 0; i < size.engines(); i++) {
+            mEngines.add(new Engine(i, SLOWNESS[i % SLOWNESS.length]));
+        }
+        for (int i = 0; i < size.daemons(); i++) {
+            mDaemons.add(new Daemon(i, mRandom.nextLong()));
+        }
+        for (final Kind kind : Kind.values()) {
+            mResults.put(kind, new Result());
+        }
+    }
+
+    /** Plays for some seconds, after a warm-up, and returns what callers got by kind. */
+    Map<Kind, Result> play(final int seconds) {
+        final int warmUp = 4_000;
+        for (int at = 0; at < warmUp + seconds * 1_000; at += TICK_MILLIS) {
+            mNow = at;
+            if (at == warmUp) {
+                mResults.replaceAll((kind, result) -> new Result());
+            }
+            arrive();
+            mEngines.forEach(Engine::tick);
+            if (at % PLACE_MILLIS == 0) {
+                for (final Daemon daemon : mDaemons) {
+                    daemon.mWaiting.removeIf(daemon::place);
+                }
+            }
+            if (at % 100 == 0) {
+                exchange();
+            }
+        }
+        return mResults;
+    }
+
+    private void arrive() {
+        double expected = mSize.perSecond() * TICK_MILLIS / 1_000;
+        while (mRandom.nextDouble() < expected) {
+            expected -= 1;
+            double draw = mRandom.nextDouble();
+            Kind kind = Kind.REPLY;
+            for (final Kind candidate : Kind.values()) {
+                draw -= candidate.mShare;
+                if (draw < 0) {
+                    kind = candidate;
+                    break;
+                }
+            }
+            final int output = (int) (kind.mOutput * (0.4 + 1.2 * mRandom.nextDouble()));
+            final long session = mRandom.nextLong(2_000);
+            final Request request =
+                    new Request(
+                            kind,
+                            new WorkSize(
+                                    kind.mPrompt,
+                                    kind.mOutput,
+                                    400,
+                                    List.of(new WorkSize.PromptPart(session, kind.mPrompt))),
+                            mNow,
+                            output);
+            mResults.get(kind).mAsked++;
+            final Daemon daemon = mDaemons.get(mRandom.nextInt(mDaemons.size()));
+            if (!daemon.place(request)) {
+                daemon.mWaiting.add(request);
+            }
+        }
+    }
+
+    /** Tells each daemon what the others did some time ago. */
+    private void exchange() {
+        final int[][] now = new int[mSize.engines()][2];
+        for (int e = 0; e < mSize.engines(); e++) {
+            for (final Daemon daemon : mDaemons) {
+                now[e][0] += daemon.mReplicas.get(e).ownInFlight();
+                now[e][1] += daemon.mReplicas.get(e).ownPrefill();
+            }
+        }
+        mDigests.add(now);
+        if (mDigests.size() <= mSize.staleMillis() / 100) {
+            return;
+        }
+        final int[][] old = mDigests.poll();
+        for (final Daemon daemon : mDaemons) {
+            for (int e = 0; e < mSize.engines(); e++) {
+                final Replica replica = daemon.mReplicas.get(e);
+                replica.onPeers(
+                        Math.max(0, old[e][0] - replica.ownInFlight()),
+                        Math.max(0, old[e][1] - replica.ownPrefill()));
+                replica.onPeerTokenTime(
+                        mDaemons.get((daemon.mNumber + 1) % mDaemons.size())
+                                .mReplicas
+                                .get(e)
+                                .learnedTokenMillis());
+            }
+        }
+    }
+
+    private static double left(final Request request, final double now) {
+        return DEADLINE_MILLIS - (now - request.mArrived);
+    }
+
+    private double left(final Request request) {
+        return left(request, mNow);
+    }
+
+    private long nanos() {
+        return (long) (mNow * NANOS_PER_MILLI) + 1;
+    }
+}
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
@@ -8,6 +8,7 @@
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.peer.PeerMessage.RelayDigest;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaWork;
+import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.retry.RetryBudget;
 import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.core.time.TimeSource;
@@ -377,6 +378,15 @@
         final int assumed = known == 1 && mLinks.hasSeeds() ? ASSUMED_FLEET : known;
         mService.quota().onMembers(heard, assumed);
         mBudget.configure(mRetryRatio, mRetrySlack, assumed);
+        // Trials on both users' sites: where reports are fresh, shared slots serve more.
+        mService.onShares(
+                mLinks.topology().isMesh()
+                        ? SlotShares.UNDIVIDED
+                        : SlotShares.divide(
+                                mLinks.name(),
+                                mKnown.keySet(),
+                                heard,
+                                mService.replicas().byUpstream()));
     }
 
     private List<String> addresses() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -6,6 +6,7 @@
 import io.persimmonreel.core.placement.KeptParts;
 import io.persimmonreel.core.placement.Placement;
 import io.persimmonreel.core.placement.Placement.Choice;
+import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaSet;
@@ -59,6 +60,11 @@
         mEndNanos = endNanos;
     }
 
+    /** Takes this daemon's share of the replicas' slots. */
+    void onShares(final SlotShares shares) {
+        mPlacement.onShares(shares);
+    }
+
     /** Returns the number of waiting attempts. */
     int waiting() {
         return mWaiting.size();
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
@@ -145,6 +146,11 @@
         mEarly.takeAll().forEach(this::onRequest);
     }
 
+    /** Takes this daemon's share of the replicas' slots. */
+    void onShares(final SlotShares shares) {
+        mScheduler.onShares(shares);
+    }
+
     /** Takes the levels of quotas from another daemon, which may come before the configuration. */
     void onQuotaLevels(final Map<String, Long> levels) {
         if (mConfiguration == null) {
