--- a/experiment/src/main/java/io/persimmonreel/experiment/routing/RoutingBenchmarkRunner.java
+++ b/experiment/src/main/java/io/persimmonreel/experiment/routing/RoutingBenchmarkRunner.java
@@ -6,7 +6,7 @@
 import org.openjdk.jmh.runner.options.OptionsBuilder;
 import org.openjdk.jmh.runner.options.TimeValue;
 
-/** Runs the routing benchmark briefly, with the allocation of each decision. */
+/** Runs the benchmarks of decisions briefly, with the allocation of each decision. */
 public final class RoutingBenchmarkRunner {
     private static final int ITERATIONS = 3;
     private static final int SECONDS = 1;
@@ -14,15 +14,15 @@
     private RoutingBenchmarkRunner() {}
 
     /**
-     * Runs the benchmark.
+     * Runs benchmarks.
      *
-     * @param arguments not used
-     * @throws RunnerException if the benchmark fails
+     * @param arguments the name of one, or none for all
+     * @throws RunnerException if a benchmark fails
      */
     public static void main(final String[] arguments) throws RunnerException {
         new Runner(
                         new OptionsBuilder()
-                                .include(RoutingBenchmark.class.getSimpleName())
+                                .include(arguments.length > 0 ? arguments[0] : "Benchmark")
                                 .forks(1)
                                 .warmupIterations(ITERATIONS)
                                 .warmupTime(TimeValue.seconds(SECONDS))
