--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -70,9 +70,9 @@
     private static final double CONSIDERED_SHARE = 0.1;
 
     /** Parts of all slots in use up to which slots of others are borrowed, and from which none. */
-    private static final double BORROW_UP_TO = 0.5;
+    private static final double BORROW_UP_TO = 0.45;
 
-    private static final double BORROW_NONE = 0.75;
+    private static final double BORROW_NONE = 0.65;
 
     /** Part of a replica's slots that others may have taken since the reports were made. */
     private static final double UNSEEN_SHARE = 0.4;
@@ -108,7 +108,7 @@
      * @param work the request's work
      * @param replicas the replicas of its upstream
      * @param excluded ids of replicas that must not be used
-     * @param millisLeft the time in milliseconds until the request's deadline
+     * @param time the time that the request has left
      * @param nowNanos the present monotonic time in nanoseconds
      * @return the choice, or empty if no replica may be used
      */
@@ -116,9 +116,9 @@
             final WorkSize work,
             final Collection<Replica> replicas,
             final Set<String> excluded,
-            final double millisLeft,
+            final TimeLeft time,
             final long nowNanos) {
-        mBorrowing = borrowing(replicas, nowNanos);
+        mBorrowing = borrowing(replicas, time.isOnTime(), nowNanos);
         final Replica[] homes = homes(work, replicas, nowNanos);
         Choice best = null;
         boolean bestHealthy = false;
@@ -134,7 +134,7 @@
             if (best != null && bestHealthy && !healthy) {
                 continue;
             }
-            final Choice choice = predict(work, replica, homes, millisLeft, nowNanos);
+            final Choice choice = predict(work, replica, homes, time.millis(), nowNanos);
             if (best == null
                     || healthy && !bestHealthy
                     || choice.scoreMillis() < best.scoreMillis()) {
@@ -145,6 +145,14 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Holds the time that a request has left.
+     *
+     * @param millis the time in milliseconds until its deadline
+     * @param isOnTime whether its first event may still come within the objective
+     */
+    public record TimeLeft(double millis, boolean isOnTime) {}
+
     /**
      * Holds a chosen replica and what is predicted there.
      *
@@ -220,13 +228,18 @@
      *
      * @param consideredShare the part of the replicas that is considered
      * @param withheldShare the part of a replica's slots that is left to their owners
+     * @param usesOwn whether a free slot of the daemon's own may be used
      */
-    private record Borrowing(double consideredShare, double withheldShare) {
-        static final Borrowing FREE = new Borrowing(1.0, 0.0);
+    private record Borrowing(double consideredShare, double withheldShare, boolean usesOwn) {
+        static final Borrowing FREE = new Borrowing(1.0, 0.0, false);
     }
 
-    /** The more slots are in use, the less a daemon takes beyond its own. */
-    private Borrowing borrowing(final Collection<Replica> replicas, final long nowNanos) {
+    /**
+     * The more slots are in use, the less a daemon takes beyond its own. Late requests take no own
+     * slots: under overload those serve as many callers in time as they can.
+     */
+    private Borrowing borrowing(
+            final Collection<Replica> replicas, final boolean onTime, final long nowNanos) {
         if (replicas.isEmpty()
                 || !mShares.isDivided(replicas.iterator().next().entry().upstream())) {
             return Borrowing.FREE;
@@ -239,22 +252,26 @@
         }
         final double busy =
                 Math.max(0, (load / slots - BORROW_UP_TO) / (BORROW_NONE - BORROW_UP_TO));
-        return new Borrowing(CONSIDERED_SHARE, UNSEEN_SHARE + busy * (1.0 - UNSEEN_SHARE));
+        return new Borrowing(CONSIDERED_SHARE, UNSEEN_SHARE + busy * (1.0 - UNSEEN_SHARE), onTime);
     }
 
     /** A free slot of one's own counts more than what old reports say. */
     private double load(final Replica replica, final long nowNanos) {
         final double load = replica.load(nowNanos);
         final int slots = replica.entry().slots();
-        if (mShares.hasFreeSlot(replica)) {
+        if (hasOwnSlot(replica)) {
             return Math.min(load, slots - 1.0);
         }
         return load + slots * mBorrowing.withheldShare();
     }
 
+    private boolean hasOwnSlot(final Replica replica) {
+        return mBorrowing.usesOwn() && mShares.hasFreeSlot(replica);
+    }
+
     private boolean isConsidered(final Replica replica, final Replica[] homes) {
         return mBorrowing.consideredShare() >= 1.0
-                || mShares.hasFreeSlot(replica)
+                || hasOwnSlot(replica)
                 || homes.length > 0 && homes[0] == replica
                 || mRandom.nextDouble() < mBorrowing.consideredShare();
     }
--- a/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
@@ -2,16 +2,19 @@
 
 import io.persimmonreel.core.admission.Admission;
 import io.persimmonreel.core.placement.Placement.Choice;
+import io.persimmonreel.core.placement.Placement.TimeLeft;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -40,6 +43,8 @@
     private final List<Daemon> mDaemons = new ArrayList<>();
     private final Deque<int[][]> mDigests = new ArrayDeque<>();
     private final Map<Kind, Result> mResults = new HashMap<>();
+    private final PriorityQueue<Request> mReturning =
+            new PriorityQueue<>(Comparator.comparingDouble(request -> request.mCame));
     private double mNow;
 
     /** The kinds of request. */
@@ -110,6 +115,7 @@
         private double mOutputLeft;
         private double mFirst = -1;
         private double mSent;
+        private double mCame;
         private Choice mChoice;
         private Daemon mDaemon;
 
@@ -117,6 +123,7 @@
             mKind = kind;
             mWork = work;
             mArrived = arrived;
+            mCame = arrived;
             mPromptLeft = work.promptTokens();
             mOutputLeft = output;
         }
@@ -202,12 +209,20 @@
         boolean place(final Request request) {
             final long now = nanos();
             final Optional<Choice> chosen =
-                    mPlacement.choose(request.mWork, mReplicas, Set.of(), left(request), now);
+                    mPlacement.choose(
+                            request.mWork,
+                            mReplicas,
+                            Set.of(),
+                            new TimeLeft(
+                                    left(request),
+                                    mNow - request.mArrived < request.mKind.mObjective),
+                            now);
             if (chosen.isEmpty()) {
                 return false;
             }
             final Choice choice = chosen.get();
             final double waited = mNow - request.mArrived;
+            final double waitedHere = mNow - request.mCame;
             final Admission.Decision decision =
                     mAdmission.decide(
                             new Admission.Applicant(
@@ -226,6 +241,10 @@
                 request.mSent = mNow;
                 choice.replica().onSent(choice.prefillTokens());
                 mEngines.get(mReplicas.indexOf(choice.replica())).mQueue.add(request);
+            } else if (request.mCame <= request.mArrived) {
+                // A caller returns once, at any daemon.
+                request.mCame = mNow + decision.returnMillis();
+                mReturning.add(request);
             }
             return true;
         }
@@ -320,10 +339,17 @@
                             mNow,
                             output);
             mResults.get(kind).mAsked++;
-            final Daemon daemon = mDaemons.get(mRandom.nextInt(mDaemons.size()));
-            if (!daemon.place(request)) {
-                daemon.mWaiting.add(request);
-            }
+            submit(request);
+        }
+        while (!mReturning.isEmpty() && mReturning.peek().mCame <= mNow) {
+            submit(mReturning.poll());
+        }
+    }
+
+    private void submit(final Request request) {
+        final Daemon daemon = mDaemons.get(mRandom.nextInt(mDaemons.size()));
+        if (!daemon.place(request)) {
+            daemon.mWaiting.add(request);
         }
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -6,6 +6,7 @@
 import io.persimmonreel.core.placement.KeptParts;
 import io.persimmonreel.core.placement.Placement;
 import io.persimmonreel.core.placement.Placement.Choice;
+import io.persimmonreel.core.placement.Placement.TimeLeft;
 import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.replica.Replica;
@@ -161,7 +162,7 @@
     private Optional<Choice> choose(
             final RelayCall call, final List<Replica> replicas, final long now) {
         final RelayTask task = call.task();
-        final double left = task.millisLeft(now);
+        final TimeLeft left = new TimeLeft(task.millisLeft(now), task.objectiveLeft(now) > 0);
         final Set<String> apart = mSuspects.excluded(call, now);
         final Optional<Choice> chosen = mPlacement.choose(task.work(), replicas, apart, left, now);
         return chosen.isPresent() || apart.equals(call.excluded())
