Consider all replicas alike where slots are borrowed

Cause: the first replica of the list was considered in every choice, since nothing was chosen yet, and all daemons hold the list alike. The choice now falls back to the others only if no considered one is healthy. A request that was sent before may use own slots, since its work is half done. The test fails without the change.

--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -2,7 +2,9 @@
 
 import io.persimmonreel.core.replica.Affinity;
 import io.persimmonreel.core.replica.Replica;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -120,21 +122,35 @@
             final long nowNanos) {
         mBorrowing = borrowing(replicas, time.isOnTime(), nowNanos);
         final Replica[] homes = homes(work, replicas, nowNanos);
-        Choice best = null;
-        boolean bestHealthy = false;
+        final List<Replica> usable = new ArrayList<>(replicas.size());
+        final List<Replica> considered = new ArrayList<>(replicas.size());
         for (final Replica replica : replicas) {
-            if (replica.entry().draining() || excluded.contains(replica.entry().id())) {
-                continue;
-            }
-            if (best != null && bestHealthy && !isConsidered(replica, homes)) {
-                continue;
+            if (!replica.entry().draining() && !excluded.contains(replica.entry().id())) {
+                usable.add(replica);
+                if (isConsidered(replica, homes) && !replica.health().isEjected(nowNanos)) {
+                    considered.add(replica);
+                }
             }
+        }
+        return best(
+                work, considered.isEmpty() ? usable : considered, homes, time.millis(), nowNanos);
+    }
+
+    private Optional<Choice> best(
+            final WorkSize work,
+            final List<Replica> candidates,
+            final Replica[] homes,
+            final double millisLeft,
+            final long nowNanos) {
+        Choice best = null;
+        boolean bestHealthy = false;
+        for (final Replica replica : candidates) {
             // Ejected replicas serve only if there is no other one.
             final boolean healthy = !replica.health().isEjected(nowNanos);
             if (best != null && bestHealthy && !healthy) {
                 continue;
             }
-            final Choice choice = predict(work, replica, homes, time.millis(), nowNanos);
+            final Choice choice = predict(work, replica, homes, millisLeft, nowNanos);
             if (best == null
                     || healthy && !bestHealthy
                     || choice.scoreMillis() < best.scoreMillis()) {
--- a/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.placement.Placement.TimeLeft;
 import io.persimmonreel.core.placement.WorkSize.PromptPart;
 import io.persimmonreel.core.replica.Replica;
@@ -211,4 +212,49 @@
             assertThat(choose(WorkSize.PLAIN, 1_000)).isSameAs(mReplicas.get(0));
         }
     }
+
+    @Nested
+    class WithDividedSlots {
+        private static final int CHOICES = 600;
+        private static final int REPLICAS = 12;
+
+        /**
+         * All daemons list replicas alike; one that is looked at in every choice because it comes
+         * first would get the borrowed requests of all.
+         */
+        @Test
+        void borrowsFromAllReplicasAlike() {
+            final List<Replica> replicas = new ArrayList<>();
+            for (int i = 0; i < REPLICAS; i++) {
+                replicas.add(
+                        new Replica(
+                                new ReplicaEntry("s" + i, "u", "10.0.0.1", 1, "z", 4, false, 1)));
+            }
+            final List<String> others = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                others.add("daemon" + i);
+            }
+            final SlotShares shares =
+                    SlotShares.divide("daemon0", others, 20, Map.of("u", replicas));
+            replicas.stream()
+                    .filter(replica -> shares.slots(replica) > 0)
+                    .forEach(replica -> replica.onSent(0));
+            mPlacement.onShares(shares);
+            final Map<Replica, Integer> chosen = new HashMap<>();
+            for (int i = 0; i < CHOICES; i++) {
+                final Choice choice =
+                        mPlacement
+                                .choose(
+                                        WorkSize.PLAIN,
+                                        replicas,
+                                        Set.of(),
+                                        new TimeLeft(10_000, true),
+                                        0)
+                                .orElseThrow();
+                chosen.merge(choice.replica(), 1, Integer::sum);
+            }
+            final int fair = CHOICES / REPLICAS;
+            assertThat(chosen.values()).allSatisfy(n -> assertThat(n).isLessThan(3 * fair));
+        }
+    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -162,7 +162,9 @@
     private Optional<Choice> choose(
             final RelayCall call, final List<Replica> replicas, final long now) {
         final RelayTask task = call.task();
-        final TimeLeft left = new TimeLeft(task.millisLeft(now), task.objectiveLeft(now) > 0);
+        // A request that was sent before goes on at once, late or not: its work is half done.
+        final TimeLeft left =
+                new TimeLeft(task.millisLeft(now), task.objectiveLeft(now) > 0 || call.sends() > 0);
         final Set<String> apart = mSuspects.excluded(call, now);
         final Optional<Choice> chosen = mPlacement.choose(task.work(), replicas, apart, left, now);
         return chosen.isPresent() || apart.equals(call.excluded())
