Log the load and the slots withheld apart

Cause: where slots are divided, the load in the log would include slots that are left to other daemons, so that a refusal by a replica with free places could not be explained.

--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -178,6 +178,7 @@
      * @param totalMillis the predicted time to the end of the answer in milliseconds
      * @param prefillTokens the prompt tokens that the replica is expected to read
      * @param load the estimated running and waiting requests there
+     * @param withheld the slots there that are left to other daemons; they count as taken
      * @param scoreMillis the score, lower is better
      */
     public record Choice(
@@ -187,6 +188,7 @@
             double totalMillis,
             int prefillTokens,
             double load,
+            double withheld,
             double scoreMillis) {}
 
     private Choice predict(
@@ -196,7 +198,9 @@
             final double millisLeft,
             final long nowNanos) {
         final int slots = replica.entry().slots();
-        final double load = load(replica, nowNanos);
+        final double believed = believedLoad(replica, nowNanos);
+        final double withheld = hasOwnSlot(replica) ? 0 : slots * mBorrowing.withheldShare();
+        final double load = believed + withheld;
         final double token = replica.tokenMillis(TYPICAL_TOKEN_MILLIS);
         final double decode = work.outputTokens() * token;
         final double prefillMicros =
@@ -223,7 +227,7 @@
                         + FAILURE_MILLIS * replica.health().failureRate()
                         + (replica.health().isOnProbation() ? PROBATION_MILLIS : 0.0)
                         + mRandom.nextDouble() * JITTER_MILLIS;
-        return new Choice(replica, first, wait, total, unread, load, score);
+        return new Choice(replica, first, wait, total, unread, believed, withheld, score);
     }
 
     /**
@@ -272,13 +276,9 @@
     }
 
     /** A free slot of one's own counts more than what old reports say. */
-    private double load(final Replica replica, final long nowNanos) {
+    private double believedLoad(final Replica replica, final long nowNanos) {
         final double load = replica.load(nowNanos);
-        final int slots = replica.entry().slots();
-        if (hasOwnSlot(replica)) {
-            return Math.min(load, slots - 1.0);
-        }
-        return load + slots * mBorrowing.withheldShare();
+        return hasOwnSlot(replica) ? Math.min(load, replica.entry().slots() - 1.0) : load;
     }
 
     private boolean hasOwnSlot(final Replica replica) {
--- a/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
@@ -230,7 +230,7 @@
                             new Admission.Place(
                                     choice.firstMillis(),
                                     choice.waitMillis(),
-                                    choice.load(),
+                                    choice.load() + choice.withheld(),
                                     mSize.slots()));
             if (decision.kind() == Admission.Kind.HOLD) {
                 return false;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -44,6 +44,7 @@
         if (best != null) {
             line.put("best", best.replica().entry().id())
                     .put("load", Math.round(best.load()))
+                    .put("withheld", Math.round(best.withheld()))
                     .put("wait_ms", Math.round(best.waitMillis()));
         }
         line.put("return_ms", returnMillis).write();
@@ -62,6 +63,7 @@
                 .put("customer", call.task().customerName())
                 .put("units", call.task().units())
                 .put("load", Math.round(choice.load()))
+                .put("withheld", Math.round(choice.withheld()))
                 .put("candidates", candidates)
                 .put("first_ms", Math.round(choice.firstMillis()))
                 .put("prefill", choice.prefillTokens())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -132,7 +132,7 @@
                         new Admission.Place(
                                 choice.firstMillis(),
                                 choice.waitMillis(),
-                                choice.load(),
+                                choice.load() + choice.withheld(),
                                 choice.replica().entry().slots()));
         final boolean sent = call.sends() > 0;
         if (!sent && !mLeaveRule.accepts(choice.totalMillis(), millisUntilEnd(now))) {
