--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -57,8 +57,8 @@
     private static final Duration LINGER = Duration.ofMillis(2_500);
 
     /**
-     * The last part of the grace time is left to the end of the process. With 700 ms of 8 s, 11 of
-     * 40 processes that stopped together on hosts with a third of a core and more were killed.
+     * The last part of the grace time is left to the end of the process, since an exit takes up to
+     * a second on a host with a third of a core. Callers are told to expect cuts in the last sixth.
      */
     private static final double GRACE_MARGIN_SHARE = 0.15;
 
