--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -72,9 +72,9 @@
     private static final double CONSIDERED_SHARE = 0.1;
 
     /** Parts of all slots in use up to which slots of others are borrowed, and from which none. */
-    private static final double BORROW_UP_TO = 0.45;
+    private static final double BORROW_UP_TO = 0.5;
 
-    private static final double BORROW_NONE = 0.65;
+    private static final double BORROW_NONE = 0.75;
 
     /** Part of a replica's slots that others may have taken since the reports were made. */
     private static final double UNSEEN_SHARE = 0.4;
@@ -110,7 +110,7 @@
      * @param work the request's work
      * @param replicas the replicas of its upstream
      * @param excluded ids of replicas that must not be used
-     * @param time the time that the request has left
+     * @param millisLeft the time in milliseconds until the request's deadline
      * @param nowNanos the present monotonic time in nanoseconds
      * @return the choice, or empty if no replica may be used
      */
@@ -118,9 +118,9 @@
             final WorkSize work,
             final Collection<Replica> replicas,
             final Set<String> excluded,
-            final TimeLeft time,
+            final double millisLeft,
             final long nowNanos) {
-        mBorrowing = borrowing(replicas, time.isOnTime(), nowNanos);
+        mBorrowing = borrowing(replicas, nowNanos);
         final Replica[] homes = homes(work, replicas, nowNanos);
         final List<Replica> usable = new ArrayList<>(replicas.size());
         final List<Replica> considered = new ArrayList<>(replicas.size());
@@ -132,8 +132,7 @@
                 }
             }
         }
-        return best(
-                work, considered.isEmpty() ? usable : considered, homes, time.millis(), nowNanos);
+        return best(work, considered.isEmpty() ? usable : considered, homes, millisLeft, nowNanos);
     }
 
     private Optional<Choice> best(
@@ -161,14 +160,6 @@
         return Optional.ofNullable(best);
     }
 
-    /**
-     * Holds the time that a request has left.
-     *
-     * @param millis the time in milliseconds until its deadline
-     * @param isOnTime whether its first event may still come within the objective
-     */
-    public record TimeLeft(double millis, boolean isOnTime) {}
-
     /**
      * Holds a chosen replica and what is predicted there.
      *
@@ -199,7 +190,8 @@
             final long nowNanos) {
         final int slots = replica.entry().slots();
         final double believed = believedLoad(replica, nowNanos);
-        final double withheld = hasOwnSlot(replica) ? 0 : slots * mBorrowing.withheldShare();
+        final double withheld =
+                mShares.hasFreeSlot(replica) ? 0 : slots * mBorrowing.withheldShare();
         final double load = believed + withheld;
         final double token = replica.tokenMillis(TYPICAL_TOKEN_MILLIS);
         final double decode = work.outputTokens() * token;
@@ -248,18 +240,13 @@
      *
      * @param consideredShare the part of the replicas that is considered
      * @param withheldShare the part of a replica's slots that is left to their owners
-     * @param usesOwn whether a free slot of the daemon's own may be used
      */
-    private record Borrowing(double consideredShare, double withheldShare, boolean usesOwn) {
-        static final Borrowing FREE = new Borrowing(1.0, 0.0, false);
+    private record Borrowing(double consideredShare, double withheldShare) {
+        static final Borrowing FREE = new Borrowing(1.0, 0.0);
     }
 
-    /**
-     * The more slots are in use, the less a daemon takes beyond its own. Late requests take no own
-     * slots: under overload those serve as many callers in time as they can.
-     */
-    private Borrowing borrowing(
-            final Collection<Replica> replicas, final boolean onTime, final long nowNanos) {
+    /** The more slots are in use, the less a daemon takes beyond its own. */
+    private Borrowing borrowing(final Collection<Replica> replicas, final long nowNanos) {
         if (replicas.isEmpty()
                 || !mShares.isDivided(replicas.iterator().next().entry().upstream())) {
             return Borrowing.FREE;
@@ -272,22 +259,18 @@
         }
         final double busy =
                 Math.max(0, (load / slots - BORROW_UP_TO) / (BORROW_NONE - BORROW_UP_TO));
-        return new Borrowing(CONSIDERED_SHARE, UNSEEN_SHARE + busy * (1.0 - UNSEEN_SHARE), onTime);
+        return new Borrowing(CONSIDERED_SHARE, UNSEEN_SHARE + busy * (1.0 - UNSEEN_SHARE));
     }
 
     /** A free slot of one's own counts more than what old reports say. */
     private double believedLoad(final Replica replica, final long nowNanos) {
         final double load = replica.load(nowNanos);
-        return hasOwnSlot(replica) ? Math.min(load, replica.entry().slots() - 1.0) : load;
-    }
-
-    private boolean hasOwnSlot(final Replica replica) {
-        return mBorrowing.usesOwn() && mShares.hasFreeSlot(replica);
+        return mShares.hasFreeSlot(replica) ? Math.min(load, replica.entry().slots() - 1.0) : load;
     }
 
     private boolean isConsidered(final Replica replica, final Replica[] homes) {
         return mBorrowing.consideredShare() >= 1.0
-                || hasOwnSlot(replica)
+                || mShares.hasFreeSlot(replica)
                 || homes.length > 0 && homes[0] == replica
                 || mRandom.nextDouble() < mBorrowing.consideredShare();
     }
--- a/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.persimmonreel.core.placement.Placement.Choice;
-import io.persimmonreel.core.placement.Placement.TimeLeft;
 import io.persimmonreel.core.placement.WorkSize.PromptPart;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
@@ -31,10 +30,7 @@
     }
 
     private Replica choose(final WorkSize work, final double millisLeft) {
-        return mPlacement
-                .choose(work, mReplicas, Set.of(), new TimeLeft(millisLeft, true), 0)
-                .orElseThrow()
-                .replica();
+        return mPlacement.choose(work, mReplicas, Set.of(), millisLeft, 0).orElseThrow().replica();
     }
 
     private static WorkSize session(final long hash) {
@@ -61,12 +57,7 @@
             for (long session = 1; session <= 50; session++) {
                 final Replica here = choose(session(session), 15_000);
                 final Replica there =
-                        other.choose(
-                                        session(session),
-                                        mReplicas,
-                                        Set.of(),
-                                        new TimeLeft(15_000, true),
-                                        0)
+                        other.choose(session(session), mReplicas, Set.of(), 15_000, 0)
                                 .orElseThrow()
                                 .replica();
                 same += here == there ? 1 : 0;
@@ -83,21 +74,11 @@
                 final Set<String> busy = Set.of(home.entry().id());
                 assertThat(
                                 mPlacement
-                                        .choose(
-                                                session(session),
-                                                mReplicas,
-                                                busy,
-                                                new TimeLeft(15_000, true),
-                                                0)
+                                        .choose(session(session), mReplicas, busy, 15_000, 0)
                                         .orElseThrow()
                                         .replica())
                         .isSameAs(
-                                other.choose(
-                                                session(session),
-                                                mReplicas,
-                                                busy,
-                                                new TimeLeft(15_000, true),
-                                                0)
+                                other.choose(session(session), mReplicas, busy, 15_000, 0)
                                         .orElseThrow()
                                         .replica());
             }
@@ -194,7 +175,7 @@
                                     WorkSize.PLAIN,
                                     mReplicas,
                                     Set.of("r0", "r1", "r2", "r3", "r4"),
-                                    new TimeLeft(1_000, true),
+                                    1_000,
                                     0))
                     .isEmpty();
         }
@@ -244,12 +225,7 @@
             for (int i = 0; i < CHOICES; i++) {
                 final Choice choice =
                         mPlacement
-                                .choose(
-                                        WorkSize.PLAIN,
-                                        replicas,
-                                        Set.of(),
-                                        new TimeLeft(10_000, true),
-                                        0)
+                                .choose(WorkSize.PLAIN, replicas, Set.of(), 10_000, 0)
                                 .orElseThrow();
                 chosen.merge(choice.replica(), 1, Integer::sum);
             }
--- a/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
@@ -2,7 +2,6 @@
 
 import io.persimmonreel.core.admission.Admission;
 import io.persimmonreel.core.placement.Placement.Choice;
-import io.persimmonreel.core.placement.Placement.TimeLeft;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import java.util.ArrayDeque;
@@ -209,14 +208,7 @@
         boolean place(final Request request) {
             final long now = nanos();
             final Optional<Choice> chosen =
-                    mPlacement.choose(
-                            request.mWork,
-                            mReplicas,
-                            Set.of(),
-                            new TimeLeft(
-                                    left(request),
-                                    mNow - request.mArrived < request.mKind.mObjective),
-                            now);
+                    mPlacement.choose(request.mWork, mReplicas, Set.of(), left(request), now);
             if (chosen.isEmpty()) {
                 return false;
             }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -6,7 +6,6 @@
 import io.persimmonreel.core.placement.KeptParts;
 import io.persimmonreel.core.placement.Placement;
 import io.persimmonreel.core.placement.Placement.Choice;
-import io.persimmonreel.core.placement.Placement.TimeLeft;
 import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.replica.Replica;
@@ -162,9 +161,7 @@
     private Optional<Choice> choose(
             final RelayCall call, final List<Replica> replicas, final long now) {
         final RelayTask task = call.task();
-        // A request that was sent before goes on at once, late or not: its work is half done.
-        final TimeLeft left =
-                new TimeLeft(task.millisLeft(now), task.objectiveLeft(now) > 0 || call.sends() > 0);
+        final double left = task.millisLeft(now);
         final Set<String> apart = mSuspects.excluded(call, now);
         final Optional<Choice> chosen = mPlacement.choose(task.work(), replicas, apart, left, now);
         return chosen.isPresent() || apart.equals(call.excluded())
--- a/experiment/src/main/java/io/persimmonreel/experiment/routing/PlacementBenchmark.java
+++ b/experiment/src/main/java/io/persimmonreel/experiment/routing/PlacementBenchmark.java
@@ -3,7 +3,6 @@
 import io.persimmonreel.core.placement.KeptParts;
 import io.persimmonreel.core.placement.Placement;
 import io.persimmonreel.core.placement.Placement.Choice;
-import io.persimmonreel.core.placement.Placement.TimeLeft;
 import io.persimmonreel.core.placement.WorkSize;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
@@ -35,7 +34,6 @@
 
     private final List<Replica> mAll = new ArrayList<>();
     private final List<WorkSize> mWork = new ArrayList<>();
-    private final TimeLeft mTime = new TimeLeft(10_000, true);
     private Placement mPlacement;
     private int mNext;
 
@@ -71,6 +69,6 @@
     @Benchmark
     public Optional<Choice> choose() {
         mNext = (mNext + 1) % SESSIONS;
-        return mPlacement.choose(mWork.get(mNext), mAll, Set.of(), mTime, mNext);
+        return mPlacement.choose(mWork.get(mNext), mAll, Set.of(), 10_000, mNext);
     }
 }
