Pass what one choice of a replica shares as a record, and choose a leaf's hubs once

The terms of borrowing were kept in a field of Placement for the time of one call; they go along with the rest of the query now, and ejected replicas are sorted out in one place. SlotShares added up the slots twice. A leaf sorted all hubs by hash for every digest; HubTopology does it when it is made.

--- a/core/src/main/java/io/persimmonreel/core/membership/HubTopology.java
+++ b/core/src/main/java/io/persimmonreel/core/membership/HubTopology.java
@@ -31,6 +31,7 @@
     private final String mSelf;
     private final Set<String> mHubs;
     private final Set<String> mMembers;
+    private final List<String> mOwnHubs;
 
     /**
      * Creates the topology that a daemon sees.
@@ -43,6 +44,7 @@
         mMembers = new HashSet<>(others);
         mMembers.add(self);
         mHubs = mMembers.size() <= MESH_UP_TO ? Set.of() : hubs(mMembers);
+        mOwnHubs = mHubs.isEmpty() || mHubs.contains(self) ? List.of() : ownHubs(self, mHubs);
     }
 
     /**
@@ -79,13 +81,7 @@
      * @return the addresses, empty in a mesh and for a hub
      */
     public List<String> ownHubs() {
-        if (isMesh() || isHub()) {
-            return List.of();
-        }
-        return mHubs.stream()
-                .sorted(Comparator.comparingLong(hub -> HASHER.hashCharsToLong(mSelf + hub)))
-                .limit(HUBS_OF_A_LEAF)
-                .toList();
+        return mOwnHubs;
     }
 
     /**
@@ -100,7 +96,7 @@
         } else if (isHub()) {
             links.addAll(mHubs);
         } else {
-            links.addAll(ownHubs());
+            links.addAll(mOwnHubs);
         }
         links.remove(mSelf);
         return links;
@@ -113,7 +109,14 @@
      * @return the hub that counts this daemon, or empty
      */
     public Optional<String> countingHub(final Collection<String> heard) {
-        return ownHubs().stream().filter(heard::contains).findFirst();
+        return mOwnHubs.stream().filter(heard::contains).findFirst();
+    }
+
+    private static List<String> ownHubs(final String self, final Set<String> hubs) {
+        return hubs.stream()
+                .sorted(Comparator.comparingLong(hub -> HASHER.hashCharsToLong(self + hub)))
+                .limit(HUBS_OF_A_LEAF)
+                .toList();
     }
 
     private static Set<String> hubs(final Collection<String> members) {
--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -82,7 +82,6 @@
     private final KeptParts mKept;
     private final SplittableRandom mRandom;
     private SlotShares mShares = SlotShares.UNDIVIDED;
-    private Borrowing mBorrowing = Borrowing.FREE;
 
     /**
      * Creates a placement.
@@ -120,41 +119,41 @@
             final Set<String> excluded,
             final double millisLeft,
             final long nowNanos) {
-        mBorrowing = borrowing(replicas, nowNanos);
-        final Replica[] homes = homes(work, replicas, nowNanos);
+        final Query query =
+                new Query(
+                        work,
+                        homes(work, replicas, nowNanos),
+                        borrowing(replicas, nowNanos),
+                        millisLeft,
+                        nowNanos);
         final List<Replica> usable = new ArrayList<>(replicas.size());
+        final List<Replica> healthy = new ArrayList<>(replicas.size());
         final List<Replica> considered = new ArrayList<>(replicas.size());
         for (final Replica replica : replicas) {
-            if (!replica.entry().draining() && !excluded.contains(replica.entry().id())) {
-                usable.add(replica);
-                if (isConsidered(replica, homes) && !replica.health().isEjected(nowNanos)) {
+            if (replica.entry().draining() || excluded.contains(replica.entry().id())) {
+                continue;
+            }
+            usable.add(replica);
+            if (!replica.health().isEjected(nowNanos)) {
+                healthy.add(replica);
+                if (isConsidered(query, replica)) {
                     considered.add(replica);
                 }
             }
         }
-        return best(work, considered.isEmpty() ? usable : considered, homes, millisLeft, nowNanos);
+        if (!considered.isEmpty()) {
+            return best(query, considered);
+        }
+        // Ejected replicas serve only if there is no other one.
+        return best(query, healthy.isEmpty() ? usable : healthy);
     }
 
-    private Optional<Choice> best(
-            final WorkSize work,
-            final List<Replica> candidates,
-            final Replica[] homes,
-            final double millisLeft,
-            final long nowNanos) {
+    private Optional<Choice> best(final Query query, final List<Replica> candidates) {
         Choice best = null;
-        boolean bestHealthy = false;
         for (final Replica replica : candidates) {
-            // Ejected replicas serve only if there is no other one.
-            final boolean healthy = !replica.health().isEjected(nowNanos);
-            if (best != null && bestHealthy && !healthy) {
-                continue;
-            }
-            final Choice choice = predict(work, replica, homes, millisLeft, nowNanos);
-            if (best == null
-                    || healthy && !bestHealthy
-                    || choice.scoreMillis() < best.scoreMillis()) {
+            final Choice choice = predict(query, replica);
+            if (best == null || choice.scoreMillis() < best.scoreMillis()) {
                 best = choice;
-                bestHealthy = healthy;
             }
         }
         return Optional.ofNullable(best);
@@ -182,22 +181,34 @@
             double withheld,
             double scoreMillis) {}
 
-    private Choice predict(
-            final WorkSize work,
-            final Replica replica,
-            final Replica[] homes,
-            final double millisLeft,
-            final long nowNanos) {
+    /**
+     * Holds what is the same for all replicas while one is chosen.
+     *
+     * @param work the request's work
+     * @param homes the homes of its session
+     * @param borrowing on which terms it may use slots of other daemons
+     * @param millisLeft the time in milliseconds until its deadline
+     * @param nowNanos the present monotonic time in nanoseconds
+     */
+    private record Query(
+            WorkSize work,
+            Replica[] homes,
+            Borrowing borrowing,
+            double millisLeft,
+            long nowNanos) {}
+
+    private Choice predict(final Query query, final Replica replica) {
+        final WorkSize work = query.work();
         final int slots = replica.entry().slots();
-        final double believed = believedLoad(replica, nowNanos);
+        final double believed = believedLoad(replica, query.nowNanos());
         final double withheld =
-                mShares.hasFreeSlot(replica) ? 0 : slots * mBorrowing.withheldShare();
+                mShares.hasFreeSlot(replica) ? 0 : slots * query.borrowing().withheldShare();
         final double load = believed + withheld;
         final double token = replica.tokenMillis(TYPICAL_TOKEN_MILLIS);
         final double decode = work.outputTokens() * token;
         final double prefillMicros =
                 replica.prefillTokenMicros(token * PREFILL_MICROS_PER_TOKEN_MILLI);
-        final int unread = unread(work, replica, homes);
+        final int unread = unread(work, replica, query.homes());
         final double ownPrefill = unread * prefillMicros / 1_000.0;
         final double prefill = ownPrefill + replica.pendingPrefill() * prefillMicros / 1_000.0;
         final double service =
@@ -209,7 +220,7 @@
         final double first = wait + base + ERROR_SHARE * replica.errorMillis();
         final double total = wait + prefill + Math.max(decode, first - wait);
         final double late =
-                Math.max(0.0, wait + prefill + decode * LENGTH_MARGIN - millisLeft * 0.8);
+                Math.max(0.0, wait + prefill + decode * LENGTH_MARGIN - query.millisLeft() * 0.8);
         final double score =
                 first
                         + ownPrefill * (PREFILL_WEIGHT - 1.0)
@@ -268,11 +279,12 @@
         return mShares.hasFreeSlot(replica) ? Math.min(load, replica.entry().slots() - 1.0) : load;
     }
 
-    private boolean isConsidered(final Replica replica, final Replica[] homes) {
-        return mBorrowing.consideredShare() >= 1.0
+    private boolean isConsidered(final Query query, final Replica replica) {
+        final double share = query.borrowing().consideredShare();
+        return share >= 1.0
                 || mShares.hasFreeSlot(replica)
-                || homes.length > 0 && homes[0] == replica
-                || mRandom.nextDouble() < mBorrowing.consideredShare();
+                || query.homes().length > 0 && query.homes()[0] == replica
+                || mRandom.nextDouble() < share;
     }
 
     private int unread(final WorkSize work, final Replica replica, final Replica[] homes) {
--- a/core/src/main/java/io/persimmonreel/core/placement/SlotShares.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/SlotShares.java
@@ -67,7 +67,7 @@
                         // Whole numbers keep neighbours' ranges from overlapping by rounding.
                         final long from = index * total / known;
                         final long to = (index * sharing + known) * total / (known * sharing);
-                        take(from, to, replicas, own);
+                        take(from, to, total, replicas, own);
                     }
                 });
         return new SlotShares(own, divided);
@@ -77,17 +77,12 @@
     private static void take(
             final long from,
             final long to,
+            final long total,
             final List<Replica> replicas,
             final Map<Replica, Integer> own) {
         replicas.sort(Comparator.comparingLong(Replica::idHash));
-        int most = 0;
-        int total = 0;
-        for (final Replica replica : replicas) {
-            most = Math.max(most, replica.entry().slots());
-            total += replica.entry().slots();
-        }
-        int number = 0;
-        for (int slot = 0; slot < most; slot++) {
+        long number = 0;
+        for (int slot = 0; number < total; slot++) {
             for (final Replica replica : replicas) {
                 if (slot < replica.entry().slots()) {
                     // A range that goes beyond the last slot goes on at the first one.
