Serve twins in the relay's peers and directory by one piece each

Digests were built in two places, and a digest that only shows life in three; send and sendAll of the peer transport made the same check; documents of the directory were applied and reported by two copies of a loop. FleetWork held a digest that could be missing only because use was taken before it, which no caller does. A method of CallerConnection that nothing calls is removed.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -78,13 +78,7 @@
      */
     public void onChanges(final long revision, final List<Document> documents) {
         mRevision = Math.max(mRevision, revision);
-        boolean replicasChanged = false;
-        for (final Document document : documents) {
-            replicasChanged |= apply(document);
-        }
-        if (replicasChanged) {
-            mListener.onReplicas(mReplicas.values());
-        }
+        report(applyAll(documents));
     }
 
     /**
@@ -115,12 +109,8 @@
                 replicasChanged |= remove(name, "absent");
             }
         }
-        for (final Document document : documents) {
-            replicasChanged |= apply(document);
-        }
-        if (replicasChanged) {
-            mListener.onReplicas(mReplicas.values());
-        }
+        replicasChanged |= applyAll(documents);
+        report(replicasChanged);
     }
 
     /**
@@ -138,9 +128,7 @@
                 changed |= remove(absent.getKey(), "not back after an outage");
             }
         }
-        if (changed) {
-            mListener.onReplicas(mReplicas.values());
-        }
+        report(changed);
     }
 
     /**
@@ -164,6 +152,21 @@
         return new DirectoryCopy(mRevision, names, contents);
     }
 
+    private void report(final boolean replicasChanged) {
+        if (replicasChanged) {
+            mListener.onReplicas(mReplicas.values());
+        }
+    }
+
+    /** Returns whether a replica changed. */
+    private boolean applyAll(final List<Document> documents) {
+        boolean replicasChanged = false;
+        for (final Document document : documents) {
+            replicasChanged |= apply(document);
+        }
+        return replicasChanged;
+    }
+
     private boolean apply(final Document document) {
         final String name = document.name();
         final byte[] content = document.content().orElse(null);
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryWatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryWatch.java
@@ -146,10 +146,7 @@
         }
         final long millis = mRetry.toMillis();
         next(Duration.ofMillis(millis / 2 + mRandom.nextLong(millis)));
-        mRetry =
-                mRetry.multipliedBy(2).compareTo(LONGEST_RETRY) > 0
-                        ? LONGEST_RETRY
-                        : mRetry.multipliedBy(2);
+        mRetry = Duration.ofMillis(Math.min(LONGEST_RETRY.toMillis(), 2 * millis));
     }
 
     private boolean isReturning() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
@@ -31,6 +31,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Predicate;
 
 /**
  * Keeps authenticated TCP connections to other daemons.
@@ -184,10 +185,14 @@
 
     @Override
     public void send(final Incarnation to, final PeerMessage message) {
+        deliver(to, connection -> connection.send((Record) message));
+    }
+
+    private void deliver(final Incarnation to, final Predicate<PeerConnection> sending) {
         final PeerConnection connection = mConnections.get(to);
         if (connection == null
                 || !mPolicy.isAllowed(connection.peer().slot())
-                || !connection.send((Record) message)) {
+                || !sending.test(connection)) {
             mDropped.increment();
         }
     }
@@ -221,14 +226,7 @@
             LOG.log(Level.ERROR, "peer: Message was not sent. " + e.getMessage());
             return;
         }
-        for (final Incarnation peer : peers) {
-            final PeerConnection connection = mConnections.get(peer);
-            if (connection == null
-                    || !mPolicy.isAllowed(connection.peer().slot())
-                    || !connection.sendFrame(frame)) {
-                mDropped.increment();
-            }
-        }
+        peers.forEach(peer -> deliver(peer, connection -> connection.sendFrame(frame)));
     }
 
     /**
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -54,10 +54,6 @@
         mListener = listener;
     }
 
-    boolean isWritable() {
-        return mChannel.isWritable();
-    }
-
     /**
      * Answers the present request with a whole answer.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/FleetWork.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/FleetWork.java
@@ -61,11 +61,11 @@
         heard.mNanos = nowNanos;
     }
 
-    /** Takes the use of quotas that a peer reports since its last digest. */
+    /** Takes the use of quotas that a peer whose digest was taken reports since the one before. */
     void onUse(final Incarnation peer, final Map<String, Long> use) {
         mQuota.onPeerUse(use);
-        final Heard heard = mHeard.computeIfAbsent(peer, key -> new Heard());
-        use.forEach((name, units) -> heard.mUse.merge(name, units, Long::sum));
+        final Map<String, Long> unreported = mHeard.get(peer).mUse;
+        use.forEach((name, units) -> unreported.merge(name, units, Long::sum));
     }
 
     void forget(final Incarnation peer) {
@@ -74,13 +74,13 @@
 
     boolean isHeard(final Incarnation peer, final long nowNanos) {
         final Heard heard = mHeard.get(peer);
-        return heard != null && heard.mDigest != null && nowNanos - heard.mNanos <= SILENT_NANOS;
+        return heard != null && nowNanos - heard.mNanos <= SILENT_NANOS;
     }
 
     /** Tells whether a peer reports its own work and use to this daemon. */
     boolean isCountedHere(final Incarnation peer) {
         final Heard heard = mHeard.get(peer);
-        return heard != null && heard.mDigest != null && heard.mDigest.daemons() > 0;
+        return heard != null && heard.mDigest.daemons() > 0;
     }
 
     /** Returns the daemons that the given peers speak for. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Neighbours.java
@@ -152,7 +152,7 @@
             final Set<Incarnation> others = new HashSet<>(mPeers.keySet());
             others.removeAll(counting);
             mTransport.sendAll(counting, digest(1, mWork.own(), ownUse));
-            mTransport.sendAll(others, digest(0, List.of(), Map.of()));
+            mTransport.sendAll(others, signOfLife());
         }
     }
 
@@ -178,16 +178,7 @@
         mLog.event("peer", "connected").put("peer", peer.incarnation().toString()).write();
         // The first digest lists all members, so that a daemon that starts finds its peers.
         mTransport.send(
-                peer.incarnation(),
-                new RelayDigest(
-                        mLinks.name(),
-                        mLeaving,
-                        0,
-                        List.copyOf(mKnown.keySet()),
-                        mDirectory.revision(),
-                        configVersion(),
-                        List.of(),
-                        Map.of()));
+                peer.incarnation(), digest(0, List.copyOf(mKnown.keySet()), List.of(), Map.of()));
         if (isSettled()) {
             mTransport.send(
                     peer.incarnation(), new PeerMessage.QuotaLevels(mService.quota().levels()));
@@ -310,7 +301,7 @@
             add(others, peerUse.get(leaf), -1);
             mTransport.send(leaf, digest(fleetSize, total, others));
         }
-        mTransport.sendAll(idle, digest(0, List.of(), Map.of()));
+        mTransport.sendAll(idle, signOfLife());
     }
 
     private static void add(
@@ -320,14 +311,27 @@
         }
     }
 
+    /** A digest to a peer that does not count this daemon. */
+    private RelayDigest signOfLife() {
+        return digest(0, List.of(), Map.of());
+    }
+
     private RelayDigest digest(
             final int daemons, final List<ReplicaWork> work, final Map<String, Long> use) {
         final boolean lists = mLinks.topology().isMesh() || mDigests % MEMBERS_EVERY == 0;
+        return digest(daemons, lists ? members() : List.of(), work, use);
+    }
+
+    private RelayDigest digest(
+            final int daemons,
+            final List<String> members,
+            final List<ReplicaWork> work,
+            final Map<String, Long> use) {
         return new RelayDigest(
                 mLinks.name(),
                 mLeaving,
                 daemons,
-                lists ? members() : List.of(),
+                members,
                 mDirectory.revision(),
                 configVersion(),
                 work,
@@ -349,8 +353,7 @@
     }
 
     private void applyWork(final long now) {
-        final boolean leaf = mLinks.isLeaf();
-        mWork.apply(leaf ? countingPeers(now) : mPeers.keySet(), leaf, now);
+        mWork.apply(countingPeers(now), mLinks.isLeaf(), now);
     }
 
     /** Returns the peers whose digests are added up. */
@@ -372,8 +375,7 @@
 
     private void updateMembers(final long now) {
         final int others = mWork.daemons(countingPeers(now), now);
-        final boolean leaf = mLinks.isLeaf();
-        final int heard = leaf ? Math.max(1, others) : 1 + others;
+        final int heard = mLinks.isLeaf() ? Math.max(1, others) : 1 + others;
         final int known = Math.max(heard, mKnown.size() + 1);
         final int assumed = known == 1 && mLinks.hasSeeds() ? ASSUMED_FLEET : known;
         mService.quota().onMembers(heard, assumed);
