--- a/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/VirtualFleet.java
@@ -374,12 +374,8 @@
         }
     }
 
-    private static double left(final Request request, final double now) {
-        return DEADLINE_MILLIS - (now - request.mArrived);
-    }
-
     private double left(final Request request) {
-        return left(request, mNow);
+        return DEADLINE_MILLIS - (mNow - request.mArrived);
     }
 
     private long nanos() {
