Promise not-run only for attempts that no replica may have run

Cause: RelayService.abortAll ended every attempt with 503 at the end of the grace time, also those that a replica had. mayHaveRun was set when a send broke, not when it was sent. A caller repeats a charge after 503.

ExecutionRecord in core answers whether an attempt may have run: from each send on, until its replica states the contrary. RelayCall.failureStatus maps it to the status; log, Retry-After and response use it. All callers of fail: RelayService.abortAll (502, was 503), onDeadlineReached (504; an attempt that waits for a connection now gets 503, as it was not sent), RelayScheduler.onNoReplica and refuse, RelayCall.onFailed, onNotRun and onErrorResponse. ExchangeListener.onFailed loses its parameter unsent, which was always false. Native path, read: RequestFinisher.refuse, failUnsent (both renounce the claim first), refuseClaim, complete, fail (always may have run); none decides on its own, nothing changed.

Found by the new tests, beside load: the caller got no response at all, once. RelayDaemon.stop closed the event loop at the end of its wait, before the timer that ends the requests had run. It now ends them on the event loop before it closes it.

Tests that failed before: RelayShutdownTest, a charge and a stream without head (503, now 502). relay.pml models the promise; two broken variants are caught. Ruled out: a fault of the replica stand-in; the trial of the issue shows the same without it.

--- a/core/src/main/java/io/persimmonreel/core/retry/package-info.java
+++ b/core/src/main/java/io/persimmonreel/core/retry/package-info.java
@@ -1,2 +1,2 @@
-/** Limits how many requests a daemon sends again to another replica. */
+/** Limits resends to other replicas, and tracks whether an attempt may have run. */
 package io.persimmonreel.core.retry;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ExchangeListener.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ExchangeListener.java
@@ -32,8 +32,7 @@
     /**
      * Reports that the exchange failed.
      *
-     * @param unsent whether no byte of the request was sent
      * @param reason the reason, one short sentence
      */
-    void onFailed(boolean unsent, String reason);
+    void onFailed(String reason);
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.retry.ExecutionRecord;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -30,10 +31,10 @@
     private final CallerRequest mRequest;
     private final RelayService mService;
     private final Set<String> mExcludedReplicas = new HashSet<>();
+    private final ExecutionRecord mExecution = new ExecutionRecord();
     private Phase mPhase = Phase.WAITING;
     private int mCountedDispatches;
     private int mDispatchCount;
-    private boolean mMayHaveRun;
     private boolean mCallerGone;
     private Dispatch mDispatch;
     private UpstreamConnection mConnection;
@@ -116,8 +117,19 @@
         return mCountedDispatches;
     }
 
+    /** Returns whether a replica may have run the request. */
     boolean mayHaveRun() {
-        return mMayHaveRun;
+        return mExecution.mayHaveRun();
+    }
+
+    /**
+     * Returns the status of a failure of this call. Callers take 503 as the promise that the
+     * request has not run and will not run.
+     *
+     * @param ifMayHaveRun the status that is used if a replica may have run the request
+     */
+    HttpResponseStatus failureStatus(final HttpResponseStatus ifMayHaveRun) {
+        return mayHaveRun() ? ifMayHaveRun : HttpResponseStatus.SERVICE_UNAVAILABLE;
     }
 
     boolean hasResponseStarted() {
@@ -172,7 +184,6 @@
 
     /** Stops waiting for the current replica, on which the request may have run. */
     void abandonReplica() {
-        mMayHaveRun = true;
         mExcludedReplicas.add(replica().entry().id());
         cancelExchange();
         mPhase = Phase.WAITING;
@@ -181,14 +192,25 @@
     /**
      * Ends the call with an error response, or closes the caller's connection if the response has
      * already started.
+     *
+     * @param ifMayHaveRun the status if a replica may have run the request; otherwise it is 503
+     * @param reason the reason, one short sentence
+     * @param retryAfterMillis the Retry-After time of a request that did not run, 0 for none
      */
-    void fail(final HttpResponseStatus status, final String reason, final long retryAfterMillis) {
+    void fail(
+            final HttpResponseStatus ifMayHaveRun,
+            final String reason,
+            final long retryAfterMillis) {
         cancelExchange();
         if (!mCallerGone) {
             if (mResponseStarted) {
                 mRequest.connection().abort();
             } else {
-                mService.respond(mRequest, status, reason, retryAfterMillis);
+                mService.respond(
+                        mRequest,
+                        failureStatus(ifMayHaveRun),
+                        reason,
+                        mayHaveRun() ? 0 : retryAfterMillis);
             }
         }
         done();
@@ -196,6 +218,7 @@
 
     @Override
     public void onWritten() {
+        mExecution.onSent();
         mPhase = Phase.SENT;
     }
 
@@ -218,7 +241,7 @@
                 mSplitter = new EventSplitter(mRequest.callerHeaders().resumeAfter());
             }
         } else if (mResponseStarted) {
-            onFailed(false, "the replica did not continue the stream");
+            onFailed("the replica did not continue the stream");
         } else {
             mPhase = Phase.ANSWERING;
             mBufferedBody = Unpooled.EMPTY_BUFFER;
@@ -241,7 +264,7 @@
         mConnection = null;
         if (mPhase == Phase.STREAMING) {
             if (mSplitter.hasPartialEvent()) {
-                onFailed(false, "the stream ended inside an event");
+                onFailed("the stream ended inside an event");
             } else {
                 onStreamEnd();
             }
@@ -255,7 +278,7 @@
     }
 
     @Override
-    public void onFailed(final boolean unsent, final String reason) {
+    public void onFailed(final String reason) {
         final UpstreamConnection connection = mConnection;
         mConnection = null;
         if (connection != null) {
@@ -263,12 +286,10 @@
         }
         releaseDispatch();
         mService.onExchangeFailed(this, reason);
-        mMayHaveRun |= !unsent;
         mExcludedReplicas.add(replica().entry().id());
-        final boolean resendable = unsent || mTask.route().resendRule().allowsResend();
         if (mCallerGone) {
             done();
-        } else if (resendable && mService.tryReserveResend(this, unsent)) {
+        } else if (mService.tryReserveResend(this, false)) {
             mPhase = Phase.WAITING;
             mService.resend(this, mResponseStarted ? "resume" : "broken", reason);
         } else {
@@ -316,6 +337,7 @@
             mConnection = null;
         }
         releaseDispatch();
+        mExecution.onProvenNotRun();
         mExcludedReplicas.add(replica().entry().id());
         if (misdirected) {
             mCountedDispatches--;
@@ -328,9 +350,7 @@
             mService.resend(this, "not-run", "the replica answered " + status.code());
         } else {
             mService.fail(
-                    this,
-                    HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    "the replica answered " + status.code());
+                    this, HttpResponseStatus.BAD_GATEWAY, "the replica answered " + status.code());
         }
     }
 
@@ -347,7 +367,7 @@
         try {
             completeEvents = mSplitter.split(bytes);
         } catch (final EventTooLongException e) {
-            onFailed(false, e.getMessage());
+            onFailed(e.getMessage());
             return;
         }
         if (!completeEvents.isReadable()) {
@@ -418,12 +438,10 @@
             done();
         } else if (mTask.route().resendRule().allowsResend()
                 && mService.tryReserveResend(this, false)) {
-            mMayHaveRun = true;
             mExcludedReplicas.add(replica().entry().id());
             mPhase = Phase.WAITING;
             mService.resend(this, "error", "the replica answered " + status.code());
         } else if (impliesNotRun(status)) {
-            mMayHaveRun = true;
             mService.fail(
                     this,
                     HttpResponseStatus.BAD_GATEWAY,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -259,8 +259,13 @@
      */
     public void stop() throws InterruptedException {
         mGroup.next().execute(this::beginShutdown);
-        mStopped.await(mSettings.grace().toMillis(), TimeUnit.MILLISECONDS);
+        mStopped.await(graceNanos(GRACE_MARGIN_SHARE / 2), TimeUnit.NANOSECONDS);
         mLog.event("daemon", "stopped").put("unfinished", mService.active()).write();
+        // The timer that ends the remaining requests may be late on a busy host. Closing the event
+        // loop before would cut them off without a response.
+        mGroup.next()
+                .submit(mService::abortAll)
+                .await(graceNanos(1 - GRACE_MARGIN_SHARE / 4), TimeUnit.NANOSECONDS);
         close();
     }
 
@@ -350,7 +355,12 @@
 
     /** Returns the part of the grace time in which requests may still run, in nanoseconds. */
     private long requestGraceNanos() {
-        return (long) (mSettings.grace().toNanos() * (1.0 - GRACE_MARGIN_SHARE));
+        return graceNanos(GRACE_MARGIN_SHARE);
+    }
+
+    /** Returns the grace time without a share of it, in nanoseconds. */
+    private long graceNanos(final double withoutShare) {
+        return (long) (mSettings.grace().toNanos() * (1.0 - withoutShare));
     }
 
     private void checkShutdown(final long nowNanos) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -212,6 +212,6 @@
     private void refuse(final RelayCall call, final String reason, final long retryAfterMillis) {
         mQueue.remove(call);
         mQuota.refund(call.task().customerName(), call.task().units());
-        call.fail(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfterMillis);
+        call.fail(HttpResponseStatus.BAD_GATEWAY, reason, retryAfterMillis);
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -254,7 +254,7 @@
     void abortAll() {
         for (final RelayCall call : List.copyOf(mActive)) {
             mScheduler.remove(call);
-            fail(call, HttpResponseStatus.SERVICE_UNAVAILABLE, "the daemon ends");
+            fail(call, HttpResponseStatus.BAD_GATEWAY, "the daemon ends");
         }
     }
 
@@ -351,16 +351,16 @@
         mLog.cancelled(call, nowNanos());
     }
 
-    /** Ends a request that can't be served. */
-    void fail(final RelayCall call, final HttpResponseStatus failure, final String reason) {
-        final HttpResponseStatus status =
-                call.mayHaveRun() && failure.code() == 503
-                        ? HttpResponseStatus.BAD_GATEWAY
-                        : failure;
-        final long now = nowNanos();
-        final long retryAfterMillis = status.code() == 503 ? mScheduler.retryAfterMillis(call) : 0;
-        mLog.failed(call, status, reason, now);
-        call.fail(status, reason, retryAfterMillis);
+    /**
+     * Ends a request that can't be served.
+     *
+     * @param call the request
+     * @param ifMayHaveRun the status if a replica may have run the request; otherwise it is 503
+     * @param reason the reason, one short sentence
+     */
+    void fail(final RelayCall call, final HttpResponseStatus ifMayHaveRun, final String reason) {
+        mLog.failed(call, call.failureStatus(ifMayHaveRun), reason, nowNanos());
+        call.fail(ifMayHaveRun, reason, mScheduler.retryAfterMillis(call));
     }
 
     void onDone(final RelayCall call) {
@@ -399,11 +399,7 @@
 
     private void onDeadlineReached(final RelayCall call) {
         mScheduler.remove(call);
-        final boolean sent = call.phase() != RelayCall.Phase.WAITING || call.mayHaveRun();
-        fail(
-                call,
-                sent ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                "the time is over");
+        fail(call, HttpResponseStatus.GATEWAY_TIMEOUT, "the time is over");
     }
 
     private void checkStall(final RelayCall call, final long now) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -42,7 +42,7 @@
                 public void onEnd() {}
 
                 @Override
-                public void onFailed(final boolean unsent, final String reason) {}
+                public void onFailed(final String reason) {}
             };
 
     private final Replica mReplica;
@@ -267,7 +267,7 @@
         mListener = null;
         close();
         if (listener != null) {
-            listener.onFailed(false, mResponseStarted ? reason + " inside an answer" : reason);
+            listener.onFailed(mResponseStarted ? reason + " inside an answer" : reason);
         }
     }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
@@ -1,84 +1,22 @@
 package io.persimmonreel.daemon.relay;
 
+import static io.persimmonreel.daemon.relay.ReplicaScripts.ATTEMPT_HEADER;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.endStream;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.event;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.respond;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.runCount;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.scriptAll;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.startStream;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.writeChunk;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
-import io.persimmonreel.daemon.upstream.ScriptedUpstream.Script;
-import java.io.IOException;
 import java.net.Socket;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class RelayDaemonTest {
-    private static final String ATTEMPT_HEADER = "Persimmonreel-Attempt: a1\r\n";
-
-    private static void respond(final Exchange exchange, final int status, final String body)
-            throws IOException {
-        respond(exchange, status, "", body);
-    }
-
-    private static void respond(
-            final Exchange exchange, final int status, final String headers, final String body)
-            throws IOException {
-        exchange.write(
-                "HTTP/1.1 "
-                        + status
-                        + " x\r\nPersimmonreel-Attempt: "
-                        + exchange.header("Persimmonreel-Attempt")
-                        + "\r\n"
-                        + headers
-                        + "Content-Length: "
-                        + body.length()
-                        + "\r\n\r\n"
-                        + body);
-    }
-
-    private static void startStream(final Exchange exchange) throws IOException {
-        exchange.write(
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                        + "Transfer-Encoding: chunked\r\nPersimmonreel-Attempt: a1\r\n\r\n");
-    }
-
-    private static void writeChunk(final Exchange exchange, final String text) throws IOException {
-        exchange.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-    }
-
-    private static void endStream(final Exchange exchange) throws IOException {
-        exchange.write("0\r\n\r\n");
-    }
-
-    private static String event(final int id) {
-        return "id: " + id + "\ndata: e" + id + "\n\n";
-    }
-
-    private static int runCount(final RelayFixture relay, final int replicas) {
-        int runCount = 0;
-        for (int i = 0; i < replicas; i++) {
-            runCount += relay.replica(i).requestLines().size();
-        }
-        return runCount;
-    }
-
-    /** Gives every replica the same script, since the relay may choose any replica. */
-    private static void scriptAll(
-            final RelayFixture relay, final int replicas, final Script script) {
-        for (int i = 0; i < replicas; i++) {
-            relay.replica(i).addScript(script);
-        }
-    }
-
-    /** Runs one script for the first request at any replica and another one for a later request. */
-    private static void scriptAll(
-            final RelayFixture relay, final int replicas, final Script first, final Script later) {
-        final AtomicBoolean started = new AtomicBoolean();
-        scriptAll(relay, replicas, e -> (started.getAndSet(true) ? later : first).answer(e));
-    }
-
     /**
      * The caller gets the replica's response unchanged, and the replica does not get the caller's
      * key.
@@ -426,65 +364,4 @@
             }
         }
     }
-
-    @Nested
-    class Shutdown {
-        /** A request in progress is completed, and its connection closes after the response. */
-        @Test
-        void finishesRequestsInProgress() throws Exception {
-            try (RelayFixture relay = new RelayFixture(1)) {
-                final CountDownLatch received = new CountDownLatch(1);
-                final CountDownLatch mayRespond = new CountDownLatch(1);
-                relay.replica(0)
-                        .addScript(
-                                e -> {
-                                    received.countDown();
-                                    mayRespond.await();
-                                    respond(e, 200, "whole");
-                                });
-                try (Socket socket = relay.connect()) {
-                    RelayFixture.send(socket, "POST", "/charge/1", ATTEMPT_HEADER, "x");
-                    received.await();
-                    final Thread stopping = stop(relay);
-                    RelayFixture.await(() -> relay.log().contains("\"event\":\"leaving\""));
-                    mayRespond.countDown();
-                    final String response = new String(socket.getInputStream().readAllBytes());
-                    assertThat(response.toLowerCase(java.util.Locale.ROOT))
-                            .contains("connection: close")
-                            .endsWith("whole");
-                    stopping.join();
-                }
-            }
-        }
-
-        /**
-         * A request that can't finish before the process ends is refused as not run instead of
-         * being cut off.
-         */
-        @Test
-        void refusesRequestsThatCantFinishInTime() throws Exception {
-            try (RelayFixture relay = new RelayFixture(1, Duration.ofMillis(500))) {
-                final Thread stopping = stop(relay);
-                RelayFixture.await(() -> relay.log().contains("\"event\":\"leaving\""));
-                assertThat(relay.request("POST", "/charge/1", ATTEMPT_HEADER, "x"))
-                        .startsWith("HTTP/1.1 503");
-                assertThat(runCount(relay, 1)).isZero();
-                stopping.join();
-            }
-        }
-
-        private Thread stop(final RelayFixture relay) {
-            final Thread thread =
-                    new Thread(
-                            () -> {
-                                try {
-                                    relay.daemon().stop();
-                                } catch (final InterruptedException e) {
-                                    Thread.currentThread().interrupt();
-                                }
-                            });
-            thread.start();
-            return thread;
-        }
-    }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -72,6 +72,14 @@
                         time,
                         new EventLog("test", time, new PrintStream(mLog, true)));
         mDaemon.start();
+        if (replicas > 0) {
+            await(this::isReady);
+        }
+    }
+
+    /** Adds a replica at a port, and waits until the relay knows it. */
+    void addReplica(final String id, final int port) throws InterruptedException {
+        mDocuments.add(document("replica/" + id, "127.0.0.1:" + port));
         await(this::isReady);
     }
 
@@ -253,7 +261,7 @@
         @Override
         public void watch(
                 final long afterRevision, final long waitMillis, final Listener listener) {
-            listener.onDocuments(afterRevision, List.of());
+            listener.onDocuments(afterRevision, mDocuments);
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayShutdownTest.java
@@ -0,0 +1,139 @@
+package io.persimmonreel.daemon.relay;
+
+import static io.persimmonreel.daemon.relay.ReplicaScripts.ATTEMPT_HEADER;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.respond;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.runCount;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RelayShutdownTest {
+    private void assertEndsAs(
+            final String method,
+            final String path,
+            final String response,
+            final String phase,
+            final boolean mayHaveRun)
+            throws Exception {
+        try (RelayFixture relay = new RelayFixture(1, Duration.ofMillis(500))) {
+            final CountDownLatch received = new CountDownLatch(1);
+            relay.replica(0)
+                    .addScript(
+                            e -> {
+                                received.countDown();
+                                e.awaitClose();
+                            });
+            try (Socket socket = relay.connect()) {
+                RelayFixture.send(socket, method, path, ATTEMPT_HEADER, "x");
+                received.await();
+                final Thread stopping = stop(relay);
+                assertThat(new String(socket.getInputStream().readAllBytes()))
+                        .startsWith(response)
+                        .doesNotContain("retry-after");
+                stopping.join();
+            }
+            assertThat(runCount(relay, 1)).isEqualTo(1);
+            assertThat(relay.log())
+                    .contains("\"phase\":\"" + phase + "\"")
+                    .contains("\"may_have_run\":" + mayHaveRun);
+        }
+    }
+
+    private Thread stop(final RelayFixture relay) {
+        final Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                relay.daemon().stop();
+                            } catch (final InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
+        thread.start();
+        return thread;
+    }
+
+    @Nested
+    class WithinTheGraceTime {
+        /** A request in progress is completed, and its connection closes after the response. */
+        @Test
+        void finishesRequestsInProgress() throws Exception {
+            try (RelayFixture relay = new RelayFixture(1)) {
+                final CountDownLatch received = new CountDownLatch(1);
+                final CountDownLatch mayRespond = new CountDownLatch(1);
+                relay.replica(0)
+                        .addScript(
+                                e -> {
+                                    received.countDown();
+                                    mayRespond.await();
+                                    respond(e, 200, "whole");
+                                });
+                try (Socket socket = relay.connect()) {
+                    RelayFixture.send(socket, "POST", "/charge/1", ATTEMPT_HEADER, "x");
+                    received.await();
+                    final Thread stopping = stop(relay);
+                    RelayFixture.await(() -> relay.log().contains("\"event\":\"leaving\""));
+                    mayRespond.countDown();
+                    final String response = new String(socket.getInputStream().readAllBytes());
+                    assertThat(response.toLowerCase(java.util.Locale.ROOT))
+                            .contains("connection: close")
+                            .endsWith("whole");
+                    stopping.join();
+                }
+            }
+        }
+
+        /**
+         * A request that can't finish before the process ends is refused as not run instead of
+         * being cut off.
+         */
+        @Test
+        void refusesRequestsThatCantFinishInTime() throws Exception {
+            try (RelayFixture relay = new RelayFixture(1, Duration.ofMillis(500))) {
+                final Thread stopping = stop(relay);
+                RelayFixture.await(() -> relay.log().contains("\"event\":\"leaving\""));
+                assertThat(relay.request("POST", "/charge/1", ATTEMPT_HEADER, "x"))
+                        .startsWith("HTTP/1.1 503");
+                assertThat(runCount(relay, 1)).isZero();
+                stopping.join();
+            }
+        }
+    }
+
+    @Nested
+    class AtTheEndOfTheGraceTime {
+        /** Callers repeat a charge after 503, so a charge that a replica runs must not get it. */
+        @Test
+        void doesNotPromiseNotRunForARequestAtAReplica() throws Exception {
+            assertEndsAs("POST", "/charge/1", "HTTP/1.1 502", "SENT", true);
+        }
+
+        @Test
+        void doesNotPromiseNotRunForAStreamWithoutHead() throws Exception {
+            assertEndsAs("POST", "/notes/1", "HTTP/1.1 502", "SENT", true);
+        }
+
+        /** No byte of the request was sent, so the caller may repeat it. */
+        @Test
+        void promisesNotRunForARequestThatWaitsForAConnection() throws Exception {
+            try (UnacceptingListener listener = new UnacceptingListener();
+                    RelayFixture relay = new RelayFixture(0, Duration.ofMillis(200))) {
+                relay.addReplica("r0", listener.port());
+                final Thread stopping;
+                try (Socket socket = relay.connect()) {
+                    RelayFixture.send(socket, "POST", "/charge/1", ATTEMPT_HEADER, "x");
+                    RelayFixture.await(() -> relay.log().contains("\"event\":\"sent\""));
+                    stopping = stop(relay);
+                    assertThat(new String(socket.getInputStream().readAllBytes()))
+                            .startsWith("HTTP/1.1 503");
+                }
+                stopping.join();
+                assertThat(relay.log()).doesNotContain("\"may_have_run\":true");
+            }
+        }
+    }
+}
--- a/proof/model/check.sh
+++ b/proof/model/check.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Checks claims.pml, the model of claims and of the accepted configuration, with Spin.
+# Checks with Spin claims.pml, the model of claims and of the accepted configuration, and relay.pml,
+# the model of the promise of not having run.
 # Prints the number of states of each run. Fails if an assertion of the model is violated, or if a
 # variant with a deliberate fault violates none.
 set -euo pipefail
-model="$(cd "$(dirname "$0")" && pwd)/claims.pml"
+directory="$(cd "$(dirname "$0")" && pwd)"
 
 if ! command -v spin >/dev/null 2>&1; then
   if [ "$(id -u)" -eq 0 ] && command -v apt-get >/dev/null 2>&1; then
@@ -19,7 +20,8 @@
 cd "$work"
 failures=0
 
-# Usage: explore NAME EXPECTED DEFINES..., where EXPECTED is holds or broken.
+# Usage: explore NAME EXPECTED DEFINES..., where EXPECTED is holds or broken. The variable model is
+# the file.
 explore() {
   local name="$1" expected="$2" output states errors
   shift 2
@@ -44,6 +46,7 @@
   printf '%-34s %9s states  %s\n' "$name" "${states:-0}" "$result"
 }
 
+model="$directory/claims.pml"
 explore "claims, 3 attempts, 1 fault" holds -DATTEMPTS=3 -DFAULTS=1
 explore "claims, 2 attempts, 3 faults" holds -DATTEMPTS=2 -DFAULTS=3 -DEXPIRY
 explore "issued key, 2 faults" holds -DATTEMPTS=3 -DFAULTS=2 -DISSUED
@@ -54,4 +57,9 @@
 explore "late grant to earlier attempt" broken -DATTEMPTS=3 -DFAULTS=1 -DBROKEN_LATE_GRANT
 explore "entries dropped too early" broken -DATTEMPTS=3 -DFAULTS=1 -DBROKEN_DROP
 
+model="$directory/relay.pml"
+explore "promise of not having run" holds
+explore "503 at the end of a process" broken -DBROKEN_SHUTDOWN
+explore "broken connection taken as proof" broken -DBROKEN_UNPROVEN
+
 exit "$((failures > 0))"
