Grant tolerated use beyond a quota while replicas have room

New log fields on the refusal (rate, burst, level, share of the fleet heard from) show the count is right: 237 thousand tokens in 8 s at an enforced rate of 29.6 thousand. Ruled out: use counted twice, wrong estimates (units are the declared ones), silent peers (100% heard), unequal division (the bucket is the fleet's). The enforced rate used the operator's tolerance as a burst only.

Each daemon now counts the use of the whole fleet over the window of the rule. While under 70% of an upstream's slots are taken (SpareCapacity) and all daemons report, use up to three quarters of the tolerance is granted, less what others are estimated not to have reported yet. A customer in debt still gets its plain quota over the window. Units of every request that was not sent are refunded, also on deadline, cancellation and quarantine. Retry-After follows the window. New setting quotaWindowSeconds.

--- a/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -5,25 +5,32 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
  * Decides whether requests are within the quotas of their customers, from the use through this
  * daemon and the use that peers report.
  *
- * <p>Handles a customer that sends many times its usual load through all daemons. Thread safe.
+ * <p>Handles a customer that sends many times its usual load through all daemons, and one whose
+ * quota was lowered while the replicas have room: it may use a part of the operator's tolerance.
+ * Thread safe.
  */
 public final class FleetQuota {
     /** Fraction of the tolerance that is granted; the rest is for use that peers report late. */
     private static final double TOLERANCE_SHARE = 0.5;
 
+    /** Fraction of the tolerance that is granted while the replicas have room. */
+    private static final double TOLERANCE_SHARE_WITH_ROOM = 0.75;
+
     private final Map<String, CustomerBucket> mBuckets = new HashMap<>();
     private final QuotaTolerance mTolerance;
     private double mReachableShare = 1.0;
+    private int mDaemons = 1;
 
     /** Creates quotas without tolerance. */
     public FleetQuota() {
-        this(new QuotaTolerance(0, 0));
+        this(QuotaTolerance.NONE);
     }
 
     /**
@@ -47,12 +54,18 @@
         for (final RelayCustomer customer : customers) {
             names.add(customer.name());
             final CustomerBucket existing = mBuckets.get(customer.name());
-            final double rate = mTolerance.rate(customer, TOLERANCE_SHARE);
-            final double burst = mTolerance.burst(customer, TOLERANCE_SHARE);
+            final CustomerBucket.Limit limit =
+                    new CustomerBucket.Limit(
+                            mTolerance.rate(customer, TOLERANCE_SHARE),
+                            mTolerance.burst(customer, TOLERANCE_SHARE),
+                            mTolerance.unitsInWindow(customer, 0),
+                            mTolerance.unitsInWindow(customer, TOLERANCE_SHARE_WITH_ROOM));
             if (existing == null) {
-                mBuckets.put(customer.name(), new CustomerBucket(rate, burst, nowNanos));
+                mBuckets.put(
+                        customer.name(),
+                        new CustomerBucket(limit, mTolerance.window().toNanos(), nowNanos));
             } else {
-                existing.configure(rate, burst);
+                existing.configure(limit);
             }
         }
         mBuckets.keySet().retainAll(names);
@@ -65,7 +78,8 @@
      * @param known the number of daemons that are assumed to run, at least 1
      */
     public synchronized void onMembers(final int reachable, final int known) {
-        mReachableShare = Math.min(1.0, (double) Math.max(1, reachable) / Math.max(1, known));
+        mDaemons = Math.max(1, known);
+        mReachableShare = Math.min(1.0, (double) Math.max(1, reachable) / mDaemons);
     }
 
     /**
@@ -79,7 +93,24 @@
     public synchronized boolean tryUse(
             final RelayCustomer customer, final long units, final long nowNanos) {
         final CustomerBucket bucket = mBuckets.get(customer.name());
-        return bucket == null || bucket.tryUse(units, mReachableShare, nowNanos);
+        return bucket == null || bucket.tryUse(units, mReachableShare, mDaemons, nowNanos);
+    }
+
+    /**
+     * Uses units beyond a customer's quota if the operator tolerates them. To be called only while
+     * the replicas have room. Daemons that do not hear from the whole fleet grant nothing.
+     *
+     * @param customer the customer
+     * @param units the units of the request
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return true if the use is tolerated
+     */
+    public synchronized boolean tryUseTolerated(
+            final RelayCustomer customer, final long units, final long nowNanos) {
+        final CustomerBucket bucket = mBuckets.get(customer.name());
+        return bucket != null
+                && mReachableShare >= 1.0
+                && bucket.tryUseTolerated(units, mDaemons, nowNanos);
     }
 
     /**
@@ -87,11 +118,12 @@
      *
      * @param customer the customer's name
      * @param units the units that the request used
+     * @param nowNanos the current monotonic time in nanoseconds
      */
-    public synchronized void refund(final String customer, final long units) {
+    public synchronized void refund(final String customer, final long units, final long nowNanos) {
         final CustomerBucket bucket = mBuckets.get(customer);
         if (bucket != null) {
-            bucket.refund(units);
+            bucket.refund(units, nowNanos);
         }
     }
 
@@ -99,11 +131,31 @@
      * Returns when a refused customer may retry.
      *
      * @param customer the customer
-     * @return the time in milliseconds until its quota allows a request
+     * @param units the units of the request
+     * @param room whether the replicas have room for requests beyond the quota
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return the time in milliseconds until its quota allows the request
      */
-    public synchronized long millisUntilAvailable(final RelayCustomer customer) {
+    public synchronized long millisUntilAvailable(
+            final RelayCustomer customer,
+            final long units,
+            final boolean room,
+            final long nowNanos) {
         final CustomerBucket bucket = mBuckets.get(customer.name());
-        return bucket == null ? 0 : bucket.millisUntilAvailable(mReachableShare);
+        return bucket == null
+                ? 0
+                : bucket.millisUntilAvailable(units, room, mReachableShare, nowNanos);
+    }
+
+    /**
+     * Returns the state of a customer's quota, to explain a refusal.
+     *
+     * @param customer the customer
+     * @return the state, empty if the customer is unknown
+     */
+    public synchronized Optional<QuotaState> state(final RelayCustomer customer) {
+        return Optional.ofNullable(mBuckets.get(customer.name()))
+                .map(bucket -> bucket.state(mReachableShare));
     }
 
     /**
@@ -127,13 +179,14 @@
      * Subtracts the use that a peer reports.
      *
      * @param use the units by customer since the peer's last report
+     * @param nowNanos the current monotonic time in nanoseconds
      */
-    public synchronized void onPeerUse(final Map<String, Long> use) {
+    public synchronized void onPeerUse(final Map<String, Long> use, final long nowNanos) {
         use.forEach(
                 (name, units) -> {
                     final CustomerBucket bucket = mBuckets.get(name);
                     if (bucket != null) {
-                        bucket.onPeerUse(units);
+                        bucket.onPeerUse(units, nowNanos);
                     }
                 });
     }
--- a/core/src/main/java/io/persimmonreel/core/quota/QuotaTolerance.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/QuotaTolerance.java
@@ -1,15 +1,38 @@
 package io.persimmonreel.core.quota;
 
 import io.persimmonreel.core.route.RelayCustomer;
+import java.time.Duration;
 
 /**
- * Defines the excess over a quota that the operator tolerates, since daemons learn of the use
- * through other daemons with a delay.
+ * Defines the excess over a quota that the operator tolerates in any window of a given length.
  *
  * @param share the excess as a fraction of the quota, such as 0.25
  * @param tokens the additional tokens in one window, for quotas that count tokens
+ * @param window the length of the window
  */
-public record QuotaTolerance(double share, double tokens) {
+public record QuotaTolerance(double share, double tokens, Duration window) {
+    /** The excess of zero. */
+    public static final QuotaTolerance NONE = new QuotaTolerance(0, 0, Duration.ofSeconds(8));
+
+    /**
+     * Checks the length of the window.
+     *
+     * @throws IllegalArgumentException if the window is not positive
+     */
+    public QuotaTolerance {
+        if (window.isNegative() || window.isZero()) {
+            throw new IllegalArgumentException("window must be positive: " + window);
+        }
+    }
+
+    /**
+     * Returns the units that are allowed in one window if a fraction of the tolerance is granted.
+     */
+    double unitsInWindow(final RelayCustomer customer, final double fraction) {
+        final double seconds = window.toNanos() / 1e9;
+        return rate(customer, fraction) * seconds + burst(customer, fraction);
+    }
+
     /** Returns the rate to enforce if a fraction of the tolerance is granted. */
     double rate(final RelayCustomer customer, final double fraction) {
         return customer.ratePerSecond() * (1.0 + share * fraction);
--- a/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.persimmonreel.core.route.RelayCustomer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +23,7 @@
     }
 
     private static List<FleetQuota> fleet(final double rate) {
-        return fleet(rate, new QuotaTolerance(0, 0));
+        return fleet(rate, QuotaTolerance.NONE);
     }
 
     private static List<FleetQuota> fleet(final double rate, final QuotaTolerance tolerance) {
@@ -36,12 +37,12 @@
         return fleet;
     }
 
-    private static void exchangeReports(final List<FleetQuota> group) {
+    private static void exchangeReports(final List<FleetQuota> group, final long nowNanos) {
         for (final FleetQuota sender : group) {
             final Map<String, Long> use = sender.takeUnreported();
             group.stream()
                     .filter(receiver -> receiver != sender)
-                    .forEach(receiver -> receiver.onPeerUse(use));
+                    .forEach(receiver -> receiver.onPeerUse(use, nowNanos));
         }
     }
 
@@ -58,8 +59,8 @@
         final RelayCustomer customer = customer(RATE);
         for (int ms = 0; ms < seconds * 1_000; ms += 10) {
             if (ms % 200 == 0) {
-                exchangeReports(fleet.subList(0, partitionSize));
-                exchangeReports(fleet.subList(partitionSize, DAEMONS));
+                exchangeReports(fleet.subList(0, partitionSize), ms * MILLI);
+                exchangeReports(fleet.subList(partitionSize, DAEMONS), ms * MILLI);
             }
             for (final FleetQuota quota : fleet) {
                 final long units = (long) (7 * RATE / DAEMONS / 100);
@@ -86,7 +87,11 @@
         void staysWithinTheTolerance() {
             final double tokens = 0.7 * RATE;
             final long used =
-                    simulate(fleet(RATE, new QuotaTolerance(0.25, tokens)), DAEMONS, 18, 10);
+                    simulate(
+                            fleet(RATE, new QuotaTolerance(0.25, tokens, Duration.ofSeconds(8))),
+                            DAEMONS,
+                            18,
+                            10);
             assertThat(used).isBetween((long) (8 * RATE), (long) (9 * RATE * 1.25 + tokens));
         }
 
@@ -122,7 +127,7 @@
             quota.tryUse(customer(RATE), 400, 0);
             assertThat(quota.takeUnreported()).containsEntry("acme", 400L);
             assertThat(quota.takeUnreported()).isEmpty();
-            quota.refund("acme", 400);
+            quota.refund("acme", 400, 0);
             assertThat(quota.takeUnreported()).containsEntry("acme", -400L);
         }
     }
@@ -145,7 +150,7 @@
             while (quota.tryUse(customer(RATE), 1_000, 0)) {
                 continue;
             }
-            final long millis = quota.millisUntilAvailable(customer(RATE));
+            final long millis = quota.millisUntilAvailable(customer(RATE), 1_000, false, 0);
             assertThat(quota.tryUse(customer(RATE), 1_000, (millis - 5) * MILLI)).isFalse();
             assertThat(quota.tryUse(customer(RATE), 1_000, (millis + 5) * MILLI)).isTrue();
         }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerDigests.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerDigests.java
@@ -73,8 +73,8 @@
      * Adds the quota use that a peer reported in its last digest, which covers the time since the
      * digest before.
      */
-    void onQuotaUse(final Incarnation peer, final Map<String, Long> use) {
-        mQuota.onPeerUse(use);
+    void onQuotaUse(final Incarnation peer, final Map<String, Long> use, final long nowNanos) {
+        mQuota.onPeerUse(use, nowNanos);
         final Map<String, Long> unforwarded = mEntries.get(peer).mUnforwardedUse;
         use.forEach((name, units) -> unforwarded.merge(name, units, Long::sum));
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -263,7 +263,7 @@
         peer.mShuttingDown = digest.leaving();
         mPeerDigests.onDigest(from, digest, now);
         if (workPeers(now).contains(from)) {
-            mPeerDigests.onQuotaUse(from, digest.use());
+            mPeerDigests.onQuotaUse(from, digest.use(), now);
         }
         recordMember(digest.address(), now);
         digest.members().forEach(address -> recordMember(address, now));
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -2,8 +2,10 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.placement.Placement.Choice;
+import io.persimmonreel.core.quota.QuotaState;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.daemon.log.EventLog;
+import java.util.Optional;
 
 /** Writes decisions on relayed requests to the log and updates the metrics. */
 final class RelayLog {
@@ -21,14 +23,24 @@
             final HttpResponseStatus status,
             final String reason,
             final long configVersion,
-            final long retryAfterMillis) {
-        mLog.event("request", "refused")
-                .put("id", request.callerHeaders().attemptId())
-                .put("status", status.code())
-                .put("reason", reason)
-                .put("version", configVersion)
-                .put("return_ms", retryAfterMillis)
-                .write();
+            final long retryAfterMillis,
+            final Optional<QuotaState> quota) {
+        final EventLog.Line line =
+                mLog.event("request", "refused")
+                        .put("id", request.callerHeaders().attemptId())
+                        .put("status", status.code())
+                        .put("reason", reason)
+                        .put("version", configVersion)
+                        .put("return_ms", retryAfterMillis);
+        quota.ifPresent(
+                state ->
+                        line.put("rate_per_s", Math.round(state.ratePerSecond()))
+                                .put("burst", Math.round(state.burst()))
+                                .put("level", Math.round(state.level()))
+                                .put(
+                                        "reachable_percent",
+                                        Math.round(state.reachableShare() * 100)));
+        line.write();
     }
 
     /** Logs a queued request that was refused because no replica can serve it in time. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -3,11 +3,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.admission.Admission;
 import io.persimmonreel.core.admission.ShutdownAdmission;
+import io.persimmonreel.core.admission.SpareCapacity;
 import io.persimmonreel.core.placement.Placement;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.placement.PromptCacheEstimate;
 import io.persimmonreel.core.placement.SlotShares;
-import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaRegistry;
 import java.util.List;
@@ -42,12 +42,12 @@
     private final RelayService mService;
     private final RelayLog mLog;
     private final ReplicaRegistry mReplicas;
-    private final FleetQuota mQuota;
     private final ContentQuarantine mQuarantine;
     private final PromptCacheEstimate mPromptCache = new PromptCacheEstimate();
     private final Placement mPlacement;
     private final Admission mAdmission;
     private final ShutdownAdmission mShutdownAdmission = new ShutdownAdmission();
+    private final SpareCapacity mSpareCapacity = new SpareCapacity();
     private final RequestQueue mQueue = new RequestQueue();
     private long mProcessEndNanos = Long.MAX_VALUE;
 
@@ -55,7 +55,6 @@
         mService = service;
         mLog = log;
         mReplicas = service.replicas();
-        mQuota = service.quota();
         mQuarantine = service.quarantine();
         mPlacement = new Placement(mPromptCache, seed);
         mAdmission = new Admission(seed + 1);
@@ -76,6 +75,12 @@
         return mQueue.size();
     }
 
+    /** Returns whether an upstream has room for requests beyond the quotas of their customers. */
+    boolean hasRoom(final String upstream) {
+        return mQueue.isEmpty(upstream)
+                && mSpareCapacity.hasRoom(mReplicas.ofUpstream(upstream), mService.nowNanos());
+    }
+
     /** Queues a request, and sends it at once if a replica has room. */
     void submit(final RelayCall call) {
         mQueue.add(call);
@@ -211,7 +216,6 @@
 
     private void refuse(final RelayCall call, final String reason, final long retryAfterMillis) {
         mQueue.remove(call);
-        mQuota.refund(call.task().customerName(), call.task().units());
         call.fail(HttpResponseStatus.BAD_GATEWAY, reason, retryAfterMillis);
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
+import io.persimmonreel.core.quota.QuotaState;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.replica.ReplicaRegistry;
@@ -24,6 +25,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -89,7 +91,7 @@
         mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
         mBudget = budget;
         mQuota = quota;
-        mResolver = new RequestResolver(quota, mOutputLengths, seed);
+        mResolver = new RequestResolver(quota, mOutputLengths, this::hasRoom, seed);
         mScheduler = new RelayScheduler(this, log, seed + 1);
     }
 
@@ -185,7 +187,12 @@
         final RequestResolver.Result result = mResolver.resolve(request, configuration, nowNanos());
         if (result.refusal() != null) {
             final RelayRefusal refusal = result.refusal();
-            refuse(request, refusal.status(), refusal.reason(), result.retryAfterMillis());
+            refuse(
+                    request,
+                    refusal.status(),
+                    refusal.reason(),
+                    result.retryAfterMillis(),
+                    result.quota());
         } else {
             accept(new RelayCall(result.task(), this));
         }
@@ -225,7 +232,8 @@
                     request,
                     HttpResponseStatus.SERVICE_UNAVAILABLE,
                     "no configuration is known",
-                    NO_CONFIGURATION_RETRY_AFTER_MILLIS);
+                    NO_CONFIGURATION_RETRY_AFTER_MILLIS,
+                    Optional.empty());
         }
         mCrashDetector.onTimer(this::hasOlderRequest, nowNanos, this::onCrash);
         mScheduler.placeAll();
@@ -367,17 +375,26 @@
         mActive.remove(call);
         mCallsByRequest.remove(call.task().request());
         mBufferedBytes -= call.task().request().body().readableBytes();
+        if (!call.mayHaveRun()) {
+            mQuota.refund(call.task().customerName(), call.task().units(), nowNanos());
+        }
         mScheduler.place(call.task().upstream());
     }
 
+    private boolean hasRoom(final String upstream) {
+        return mScheduler.hasRoom(upstream);
+    }
+
     private void accept(final RelayCall call) {
         final RelayTask task = call.task();
         if (mQuarantine.isQuarantined(call, nowNanos())) {
+            mQuota.refund(task.customerName(), task.units(), nowNanos());
             refuse(
                     task.request(),
                     HttpResponseStatus.SERVICE_UNAVAILABLE,
                     "requests of this content crashed replicas",
-                    QUARANTINE_RETRY_AFTER_MILLIS);
+                    QUARANTINE_RETRY_AFTER_MILLIS,
+                    Optional.empty());
             return;
         }
         mActive.add(call);
@@ -391,9 +408,10 @@
             final CallerRequest request,
             final HttpResponseStatus status,
             final String reason,
-            final long retryAfterMillis) {
+            final long retryAfterMillis,
+            final Optional<QuotaState> quota) {
         final long version = mConfiguration == null ? 0 : mConfiguration.version();
-        mLog.refusedOnArrival(request, status, reason, version, retryAfterMillis);
+        mLog.refusedOnArrival(request, status, reason, version, retryAfterMillis, quota);
         respond(request, status, reason, retryAfterMillis);
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -106,7 +106,9 @@
                 reader.number("retryRatio"),
                 reader.number("retrySlack"),
                 new QuotaTolerance(
-                        reader.number("quotaOvershoot"), reader.number("quotaTolerance")));
+                        reader.number("quotaOvershoot"),
+                        reader.number("quotaTolerance"),
+                        reader.seconds("quotaWindowSeconds")));
     }
 
     /** Reads fields of the settings object and names the field in errors. */
@@ -128,6 +130,15 @@
             return node.asDouble();
         }
 
+        Duration seconds(final String field) throws SettingsException {
+            final double seconds = number(field);
+            if (seconds <= 0) {
+                throw new SettingsException(
+                        file + ": " + field, "a number of seconds above 0 is required");
+            }
+            return Duration.ofMillis(Math.max(1, Math.round(seconds * 1_000)));
+        }
+
         InetSocketAddress address(final String field) throws SettingsException {
             return parse(field, text(field));
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -243,7 +243,7 @@
                 Duration.ofSeconds(2),
                 1.0,
                 50,
-                new QuotaTolerance(0, 0));
+                QuotaTolerance.NONE);
     }
 
     private static DirectorySource.Document document(final String name, final String content) {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
@@ -18,7 +18,7 @@
              "metricsAddress": "127.0.0.1:4", "seeds": ["127.0.0.1:5"],
              "directoryAddress": "127.0.0.1:6", "graceSeconds": 8, "drainMillis": 2000,
              "retryRatio": 0.2, "retrySlack": 52, "quotaOvershoot": 0.25,
-             "quotaTolerance": 140000, "more": 1}
+             "quotaTolerance": 140000, "quotaWindowSeconds": 8, "more": 1}
             """;
 
     @TempDir private Path mFolder;
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/SettingsWatchTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/SettingsWatchTest.java
@@ -20,7 +20,7 @@
              "readinessAddress": "127.0.0.1:2", "peerAddress": "127.0.0.1:3",
              "metricsAddress": "127.0.0.1:4", "seeds": [], "directoryAddress": "127.0.0.1:6",
              "graceSeconds": 8, "drainMillis": 2000, "retryRatio": 0.2, "retrySlack": 52,
-             "quotaOvershoot": 0.25, "quotaTolerance": 0}
+             "quotaOvershoot": 0.25, "quotaTolerance": 0, "quotaWindowSeconds": 8}
             """;
 
     @TempDir private Path mFolder;
