Bound bytes of replicas that are no response

Bytes are searched once now. - Comments and empty lines counted as events, so a stalled stream that sends a byte now and then never counted as stalled. Only events with a field are progress; all bytes are forwarded as before.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/EventSplitter.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/EventSplitter.java
@@ -21,6 +21,8 @@
     private String mLastId;
     private int mEventCount;
     private String mSkipThrough;
+    private int mLineStart;
+    private int mSearchFrom;
 
     /**
      * Creates a splitter.
@@ -36,6 +38,8 @@
      */
     void restart() {
         mPending.clear();
+        mLineStart = 0;
+        mSearchFrom = 0;
         mSkipThrough = mLastId;
     }
 
@@ -51,21 +55,26 @@
             throw new EventTooLongException("an event exceeds " + MAXIMUM_EVENT_BYTES + " bytes");
         }
         mPending.writeBytes(bytes);
+        int end = endOfEvent();
+        if (end < 0) {
+            return Unpooled.EMPTY_BUFFER;
+        }
         final ByteBuf completeEvents = Unpooled.buffer(mPending.readableBytes());
-        int end = endOfEvent(mPending);
         while (end >= 0) {
             final int start = mPending.readerIndex();
             final String id = idOf(mPending, start, end);
             if (!isRepeated(id)) {
                 completeEvents.writeBytes(mPending, start, end - start);
-                mEventCount++;
+                mEventCount += hasField(mPending, start, end) ? 1 : 0;
                 if (id != null) {
                     mLastId = id;
                 }
             }
             mPending.readerIndex(end);
-            end = endOfEvent(mPending);
+            end = endOfEvent();
         }
+        mLineStart -= mPending.readerIndex();
+        mSearchFrom -= mPending.readerIndex();
         mPending.discardReadBytes();
         return completeEvents;
     }
@@ -83,7 +92,7 @@
         return mLastId;
     }
 
-    /** Returns the number of complete events, without repeated ones. */
+    /** Returns the number of complete events with a field, without repeated ones. */
     int eventCount() {
         return mEventCount;
     }
@@ -104,28 +113,43 @@
     }
 
     /**
-     * Returns the index after the blank line that ends the first event, or -1 if no event is
-     * complete.
+     * Returns the index after the blank line that ends the next event, or -1 if no event is
+     * complete. Bytes that were searched before are not searched again, since an event may arrive
+     * in very small parts.
      */
-    private static int endOfEvent(final ByteBuf buffer) {
-        int lineStart = buffer.readerIndex();
-        final int limit = buffer.writerIndex();
-        while (lineStart < limit) {
-            final int lineEnd = buffer.indexOf(lineStart, limit, (byte) '\n');
-            if (lineEnd < 0) {
-                return -1;
-            }
-            final boolean blank =
-                    lineEnd == lineStart
-                            || lineEnd == lineStart + 1 && buffer.getByte(lineStart) == '\r';
+    private int endOfEvent() {
+        int lineEnd = mPending.indexOf(mSearchFrom, mPending.writerIndex(), (byte) '\n');
+        while (lineEnd >= 0) {
+            final boolean blank = isBlank(mPending, mLineStart, lineEnd);
+            mLineStart = lineEnd + 1;
+            mSearchFrom = mLineStart;
             if (blank) {
-                return lineEnd + 1;
+                return mLineStart;
             }
-            lineStart = lineEnd + 1;
+            lineEnd = mPending.indexOf(mSearchFrom, mPending.writerIndex(), (byte) '\n');
         }
+        mSearchFrom = mPending.writerIndex();
         return -1;
     }
 
+    private static boolean isBlank(final ByteBuf buffer, final int lineStart, final int lineEnd) {
+        return lineEnd == lineStart
+                || lineEnd == lineStart + 1 && buffer.getByte(lineStart) == '\r';
+    }
+
+    /** Returns whether an event has a field; empty lines and comments only show a connection. */
+    private static boolean hasField(final ByteBuf buffer, final int start, final int end) {
+        int lineStart = start;
+        while (lineStart < end) {
+            final int lineEnd = buffer.indexOf(lineStart, end, (byte) '\n');
+            if (!isBlank(buffer, lineStart, lineEnd) && buffer.getByte(lineStart) != ':') {
+                return true;
+            }
+            lineStart = lineEnd + 1;
+        }
+        return false;
+    }
+
     private static String idOf(final ByteBuf buffer, final int start, final int end) {
         int lineStart = start;
         while (lineStart < end) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -363,6 +363,7 @@
     }
 
     private void onEvents(final ByteBuf bytes) {
+        final int eventsBefore = mSplitter.eventCount();
         final ByteBuf completeEvents;
         try {
             completeEvents = mSplitter.split(bytes);
@@ -374,7 +375,7 @@
             completeEvents.release();
             return;
         }
-        if (mDispatch.onEvent(mService.nowNanos())) {
+        if (mSplitter.eventCount() > eventsBefore && mDispatch.onEvent(mService.nowNanos())) {
             mService.onFirstEvent(this);
         }
         if (mCallerGone) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -26,6 +26,15 @@
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private static final int MISDIRECTED_STATUS = 421;
 
+    /**
+     * The maximum number of interim responses and responses to other attempts before the response
+     * to a request; a replica sends one of each at most.
+     */
+    private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
+
+    /** The maximum size of the bodies of these responses in bytes. */
+    private static final int MAXIMUM_SKIPPED_BYTES = 1 << 20;
+
     private static final ExchangeListener IGNORING_LISTENER =
             new ExchangeListener() {
                 @Override
@@ -55,6 +64,8 @@
     private boolean mWritten;
     private boolean mResponseStarted;
     private boolean mSkippingResponse;
+    private int mSkippedResponses;
+    private int mSkippedBytes;
     private boolean mReusable;
     private boolean mReset;
     private long mIdleSinceNanos;
@@ -109,6 +120,8 @@
         mWritten = false;
         mResponseStarted = false;
         mSkippingResponse = false;
+        mSkippedResponses = 0;
+        mSkippedBytes = 0;
         mReusable = true;
         listener.onWritten();
         mChannel.writeAndFlush(request)
@@ -187,15 +200,13 @@
 
     private void onResponse(final HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            mSkippingResponse = true;
+            skipResponse();
             return;
         }
         final ReplicaHeaders replicaHeaders = mDialect.readResponse(response);
         // A response to an earlier attempt may arrive in place of the response to this one.
-        mSkippingResponse =
-                replicaHeaders.attemptId() != null
-                        && !replicaHeaders.attemptId().equals(mAttemptId);
-        if (mSkippingResponse) {
+        if (replicaHeaders.attemptId() != null && !replicaHeaders.attemptId().equals(mAttemptId)) {
+            skipResponse();
             return;
         }
         if (!isAttributable(response, replicaHeaders)) {
@@ -210,6 +221,14 @@
         mListener.onHeaders(response, replicaHeaders);
     }
 
+    private void skipResponse() {
+        mSkippingResponse = true;
+        mSkippedResponses++;
+        if (mSkippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
+            fail("the replica sent too many responses that belong to no request");
+        }
+    }
+
     private static boolean isAttributable(
             final HttpResponse response, final ReplicaHeaders replicaHeaders) {
         final boolean refusal =
@@ -228,6 +247,11 @@
 
     private void onContent(final HttpContent content) {
         if (mSkippingResponse) {
+            mSkippedBytes += content.content().readableBytes();
+            if (mSkippedBytes > MAXIMUM_SKIPPED_BYTES) {
+                fail("the replica sent a response without end that belongs to no request");
+                return;
+            }
             if (content instanceof LastHttpContent) {
                 mSkippingResponse = false;
             }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/EventSplitterTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/EventSplitterTest.java
@@ -49,6 +49,15 @@
             assertThat(mSplitter.lastId()).isNull();
         }
 
+        /** Comments and empty lines are forwarded, but show no progress. */
+        @Test
+        void countsOnlyEventsWithAField() throws EventTooLongException {
+            assertThat(split(mSplitter, "\n: alive\n\n\r\n")).isEqualTo("\n: alive\n\n\r\n");
+            assertThat(mSplitter.eventCount()).isZero();
+            split(mSplitter, ": alive\ndata: x\n\n");
+            assertThat(mSplitter.eventCount()).isEqualTo(1);
+        }
+
         @Test
         void rejectsAnEventThatIsTooLong() throws EventTooLongException {
             split(mSplitter, "a".repeat(1 << 20));
