Require an attempt id for refusals on reused connections

A replica's late second copy of a refusal without an attempt id, on a connection in use again, was taken as proof that the next request had not run: a charge would be sent to another replica or answered 503 while it ran. Such a refusal is now a response of unknown origin (502, or a resend if the route allows it). Responses with the id of another attempt were skipped before, and still are. RelayDaemonTest fails without the rule.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -67,6 +67,7 @@
     private int mSkippedResponses;
     private int mSkippedBytes;
     private boolean mReusable;
+    private boolean mUsedBefore;
     private boolean mReset;
     private long mIdleSinceNanos;
     private long mIdleLimitNanos;
@@ -229,12 +230,17 @@
         }
     }
 
-    private static boolean isAttributable(
+    /**
+     * Returns whether a response can only be the one to the current request. On a connection in use
+     * again, a refusal without an attempt id may be a late copy of an earlier one.
+     */
+    private boolean isAttributable(
             final HttpResponse response, final ReplicaHeaders replicaHeaders) {
         final boolean refusal =
                 replicaHeaders.notRun() || response.status().code() == MISDIRECTED_STATUS;
         final boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-        return refusal
+        return refusal && !mUsedBefore
+                || refusal && replicaHeaders.attemptId() != null
                 || replicaHeaders.attemptId() != null && (replicaHeaders.genuine() || !success);
     }
 
@@ -278,6 +284,7 @@
         // If the response arrived before the request was fully written, the rest of the request
         // would be read as part of the next one.
         if (mReusable && mWritten) {
+            mUsedBefore = true;
             mIdleSinceNanos = mPool.nowNanos();
             mPool.release(this);
         } else {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
@@ -54,6 +54,26 @@
         }
     }
 
+    /**
+     * A refusal without an attempt id may be a late copy of an earlier one, so on a connection in
+     * use again it does not prove that the request did not run.
+     */
+    @Test
+    void doesNotTakeARefusalOfUnknownOriginForAProof() throws Exception {
+        try (RelayFixture relay = new RelayFixture(1)) {
+            relay.replica(0)
+                    .addScript(e -> respond(e, 200, "first"))
+                    .addScript(
+                            e ->
+                                    e.write(
+                                            "HTTP/1.1 503 x\r\nPersimmonreel-Not-Run: 1\r\n"
+                                                    + "Content-Length: 0\r\n\r\n"));
+            assertThat(relay.request("GET", "/lookup/1", ATTEMPT_HEADER, "")).endsWith("first");
+            assertThat(relay.request("GET", "/lookup/2", ATTEMPT_HEADER, ""))
+                    .startsWith("HTTP/1.1 502");
+        }
+    }
+
     /** Bytes after a complete response must not be taken for the next response. */
     @Test
     void closesAConnectionWithExtraBytes() throws Exception {
