Ignore documents older than the directory state

Cause: a relay whose store is silent takes newer documents from a peer; a watch or read answered late then applied its older changes on top. A replica that had left was in use again, and as the next watch starts after the newer revision, its removal was never seen. Two tests failed before. The version guard already protected the configuration.

Unexpected errors on a caller's connection are logged, and a failed timer pass no longer stops the short tick.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -77,7 +77,10 @@
      * @param documents the changed documents
      */
     public void applyChanges(final long revision, final List<Document> documents) {
-        mRevision = Math.max(mRevision, revision);
+        if (isOutdated(revision)) {
+            return;
+        }
+        mRevision = revision;
         reportReplicas(applyAll(documents));
     }
 
@@ -95,6 +98,9 @@
             final List<Document> documents,
             final boolean afterOutage,
             final long nowNanos) {
+        if (isOutdated(revision)) {
+            return;
+        }
         mRevision = revision;
         final Set<String> present = new HashSet<>();
         documents.forEach(document -> present.add(document.name()));
@@ -152,6 +158,21 @@
         return new DirectoryCopy(mRevision, names, contents);
     }
 
+    /**
+     * Returns whether documents are older than the state, which has everything up to its revision.
+     * A late response of the directory may be, after a peer sent newer documents.
+     */
+    private boolean isOutdated(final long revision) {
+        if (revision >= mRevision) {
+            return false;
+        }
+        mLog.event("directory", "outdated-ignored")
+                .put("revision", revision)
+                .put("known", mRevision)
+                .write();
+        return true;
+    }
+
     private void reportReplicas(final boolean replicasChanged) {
         if (replicasChanged) {
             mListener.onReplicas(mReplicas.values());
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.persimmonreel.core.route.CallerLimits;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -180,7 +181,10 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-        // The caller reset the connection; channelInactive follows.
+        // A reset by the caller is normal; any other error ends only this connection.
+        if (!(cause instanceof IOException)) {
+            mServer.onUnexpectedError(cause);
+        }
         context.close();
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -316,6 +316,8 @@
     }
 
     private void onActiveTick(final long nowNanos) {
+        // If the work fails, the idle tick starts the short tick again.
+        mActiveTicking = false;
         mService.onTimer(nowNanos);
         mActiveTicking = !mService.isIdle();
         if (mActiveTicking) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
@@ -142,6 +142,10 @@
         mConnections.remove(connection);
     }
 
+    void onUnexpectedError(final Throwable cause) {
+        mLog.event("caller", "error").put("error", String.valueOf(cause)).write();
+    }
+
     void onRefused(
             final CallerRequest request, final HttpResponseStatus status, final String reason) {
         mLog.event("request", "refused")
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
@@ -165,6 +165,28 @@
             assertThat(mRecorder.mReplicas).containsExactly("r1+");
         }
 
+        /**
+         * The directory answers a call late, after a peer has sent newer documents. The next watch
+         * starts after these, so that a removal in between would never be seen again.
+         */
+        @Test
+        void doNotReturnWithChangesOfAnOlderRevision() {
+            applySnapshot(1, false, document("r1", "ready"));
+            applySnapshot(10, false);
+            mState.applyChanges(5, List.of(document("r1", "ready")));
+            assertThat(mRecorder.mReplicas).isEmpty();
+            assertThat(mState.revision()).isEqualTo(10);
+        }
+
+        @Test
+        void doNotReturnWithASnapshotOfAnOlderRevision() {
+            applySnapshot(1, false, document("r1", "ready"));
+            applySnapshot(10, false);
+            applySnapshot(5, false, document("r1", "ready"));
+            assertThat(mRecorder.mReplicas).isEmpty();
+            assertThat(mState.revision()).isEqualTo(10);
+        }
+
         @Test
         void stayIfTheyReturnAfterAnOutage() {
             applySnapshot(1, false, document("r1", "ready"));
