--- a/core/src/main/java/io/persimmonreel/core/quota/CustomerBucket.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/CustomerBucket.java
@@ -9,6 +9,7 @@
  */
 final class CustomerBucket {
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MILLI = 1e6;
 
     /**
      * Initial fraction of the burst, since a new process does not know the use before its start.
@@ -20,7 +21,7 @@
 
     private final UseWindow mUse;
     private final UseWindow mOwnUse;
-    private final long mKnownSinceNanos;
+    private final long mWindowKnownNanos;
     private double mRate;
     private double mBurst;
     private double mInWindow;
@@ -32,7 +33,7 @@
     CustomerBucket(final Limit limit, final long windowNanos, final long nowNanos) {
         mUse = new UseWindow(windowNanos, nowNanos);
         mOwnUse = new UseWindow(windowNanos, nowNanos);
-        mKnownSinceNanos = nowNanos + windowNanos;
+        mWindowKnownNanos = nowNanos + windowNanos;
         mLevel = limit.burst() * INITIAL_SHARE;
         mRefilledNanos = nowNanos;
         configure(limit);
@@ -121,11 +122,12 @@
             final long nowNanos) {
         final double rate = Math.max(1.0, mRate * reachableShare);
         final double refillMillis = Math.max(0.0, 1.0 - mLevel) * 1_000.0 / rate;
-        if (reachableShare < 1.0 || nowNanos - mKnownSinceNanos < 0) {
+        if (reachableShare < 1.0 || nowNanos - mWindowKnownNanos < 0) {
             return (long) Math.ceil(refillMillis);
         }
         final double limit = room ? mToleratedInWindow : mInWindow;
-        final double windowMillis = mUse.nanosUntilAtMost(limit - units, nowNanos) / 1e6;
+        final double windowMillis =
+                mUse.nanosUntilAtMost(limit - units, nowNanos) / NANOS_PER_MILLI;
         return (long) Math.ceil(Math.min(refillMillis, windowMillis));
     }
 
@@ -136,7 +138,7 @@
      */
     private boolean tryUseInWindow(
             final long units, final double limit, final int daemons, final long nowNanos) {
-        if (nowNanos - mKnownSinceNanos < 0) {
+        if (nowNanos - mWindowKnownNanos < 0) {
             return false;
         }
         final double known = mUse.total(nowNanos);
--- a/core/src/main/java/io/persimmonreel/core/quota/QuotaTolerance.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/QuotaTolerance.java
@@ -11,6 +11,8 @@
  * @param window the length of the window
  */
 public record QuotaTolerance(double share, double tokens, Duration window) {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** The excess of zero. */
     public static final QuotaTolerance NONE = new QuotaTolerance(0, 0, Duration.ofSeconds(8));
 
@@ -29,8 +31,8 @@
      * Returns the units that are allowed in one window if a fraction of the tolerance is granted.
      */
     double unitsInWindow(final RelayCustomer customer, final double fraction) {
-        final double seconds = window.toNanos() / 1e9;
-        return rate(customer, fraction) * seconds + burst(customer, fraction);
+        return rate(customer, fraction) * window.toMillis() / MILLIS_PER_SECOND
+                + burst(customer, fraction);
     }
 
     /** Returns the rate to enforce if a fraction of the tolerance is granted. */
