Report replicas before the configuration of the same documents

A daemon that starts holds requests until it has a configuration. The lines of the replicas have the same millisecond.

DirectoryStateTest fails before.

--- a/cli/src/test/java/io/persimmonreel/cli/ConfigurationFileCheckerTest.java
+++ b/cli/src/test/java/io/persimmonreel/cli/ConfigurationFileCheckerTest.java
@@ -43,7 +43,8 @@
                         + "\"metricsAddress\":\"127.0.0.1:4\",\"seeds\":[\"127.0.0.1:3\"],"
                         + "\"directoryAddress\":\"127.0.0.1:5\",\"graceSeconds\":8,"
                         + "\"drainMillis\":2000,\"retryRatio\":0.2,\"retrySlack\":50,"
-                        + "\"quotaOvershoot\":0.25,\"quotaTolerance\":1000,\"quotaWindowSeconds\":8}";
+                        + "\"quotaOvershoot\":0.25,\"quotaTolerance\":1000,"
+                        + "\"quotaWindowSeconds\":8}";
 
         private int checkSettings(final String text) throws IOException {
             final Path file = mDirectory.resolve("relay.json");
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -81,7 +81,7 @@
             return;
         }
         mRevision = revision;
-        reportReplicas(applyAll(documents));
+        applyAll(documents, false);
     }
 
     /**
@@ -115,8 +115,7 @@
                 replicasChanged |= remove(name, "absent");
             }
         }
-        replicasChanged |= applyAll(documents);
-        reportReplicas(replicasChanged);
+        applyAll(documents, replicasChanged);
     }
 
     /**
@@ -179,25 +178,32 @@
         }
     }
 
-    /** Applies all documents and returns whether a replica changed. */
-    private boolean applyAll(final List<Document> documents) {
-        boolean replicasChanged = false;
+    /**
+     * Applies all documents. Replicas are reported before the configuration, with which requests
+     * that waited for it are placed.
+     *
+     * @param documents the documents
+     * @param replicasChanged whether a replica changed before
+     */
+    private void applyAll(final List<Document> documents, final boolean replicasChanged) {
+        boolean changed = replicasChanged;
         for (final Document document : documents) {
-            replicasChanged |= apply(document);
+            if (mFormat.isReplica(document.name())) {
+                changed |= applyReplica(document);
+            }
+        }
+        reportReplicas(changed);
+        for (final Document document : documents) {
+            if (mFormat.isConfiguration(document.name())) {
+                applyConfiguration(document.name(), document.content().orElse(null));
+            }
         }
-        return replicasChanged;
     }
 
-    private boolean apply(final Document document) {
+    /** Applies the entry of a replica and returns whether the replica changed. */
+    private boolean applyReplica(final Document document) {
         final String name = document.name();
         final byte[] content = document.content().orElse(null);
-        if (mFormat.isConfiguration(name)) {
-            applyConfiguration(name, content);
-            return false;
-        }
-        if (!mFormat.isReplica(name)) {
-            return false;
-        }
         if (content == null) {
             return remove(name, "removed");
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
@@ -19,6 +19,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -81,11 +82,13 @@
     /** Records the versions and the replicas that the state reports. */
     private static final class Recorder implements DirectoryListener {
         private final List<Long> mVersions = new ArrayList<>();
+        private final List<Set<String>> mReplicasAtConfiguration = new ArrayList<>();
         private TreeSet<String> mReplicas = new TreeSet<>();
 
         @Override
         public void onConfiguration(final RelayConfiguration configuration) {
             mVersions.add(configuration.version());
+            mReplicasAtConfiguration.add(mReplicas);
         }
 
         @Override
@@ -118,6 +121,18 @@
             assertThat(mRecorder.mVersions).containsExactly(7L, 9L);
         }
 
+        /**
+         * Requests that waited for the configuration are placed as soon as it is reported, and
+         * would be refused for want of replicas.
+         */
+        @Test
+        void isReportedAfterTheReplicasOfTheSameDocuments() {
+            applySnapshot(1, false, document("config", "7"), document("r1", "ready"));
+            mState.applyChanges(2, List.of(document("config", "8"), document("r2", "ready")));
+            assertThat(mRecorder.mReplicasAtConfiguration)
+                    .containsExactly(Set.of("r1+"), Set.of("r1+", "r2+"));
+        }
+
         @Test
         void isCopiedToAPeerOnlyIfNewer() {
             applySnapshot(5, false, document("config", "7"), document("r1", "ready"));
