Log how current the configuration of a refusal is

A refusal with 401 or 404 named the version that decided it, but not how old that version was, when the directory last answered, or whether a peer had a newer version.

request refused now has version_age_ms, directory_silent_ms and peer_version; two gauges give the version in force and the silence of the directory. No decision depends on them.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -265,6 +265,7 @@
         if (workPeers(now).contains(from)) {
             mPeerDigests.onQuotaUse(from, digest.use(), now);
         }
+        mService.configurationMonitor().onPeerVersion(digest.configVersion());
         recordMember(digest.address(), now);
         digest.members().forEach(address -> recordMember(address, now));
         requestDirectoryIfBehind(from, digest, now);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -75,6 +75,8 @@
      */
     private static final double GRACE_MARGIN_SHARE = 0.15;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private static final Duration SHUTDOWN_CHECK_INTERVAL = Duration.ofMillis(100);
 
     private volatile RelaySettings mSettings;
@@ -165,6 +167,7 @@
                 new PeerTransport(
                         self, FLEET_NAME, secret.accepted(), mPeers, mGroup, PEER_IDLE_TIMEOUT);
         mService.quarantine().sendNoticesTo(mPeers::broadcast);
+        mService.configurationMonitor().observeDirectory(mDirectoryWatch::silentNanos);
     }
 
     /**
@@ -288,6 +291,14 @@
                 "persimmonreel_relay_upstream_connections_opened",
                 "Connections opened to replicas since the start",
                 () -> mService.connections().openedCount());
+        mMetrics.gauge(
+                "persimmonreel_relay_config_version",
+                "Version of the configuration in force",
+                () -> configurationSnapshot().version());
+        mMetrics.gauge(
+                "persimmonreel_relay_directory_silent_seconds",
+                "Time since the last response of the directory",
+                () -> configurationSnapshot().directorySilentMillis() / MILLIS_PER_SECOND);
         mDirectoryWatch.start();
         mPeers.start(mTransport);
         mTimers.every("relay-idle", IDLE_TICK, this::onIdleTick);
@@ -303,6 +314,10 @@
                 });
     }
 
+    private ConfigurationMonitor.Snapshot configurationSnapshot() {
+        return mService.configurationMonitor().snapshot(mTime.monotonicNanos());
+    }
+
     /**
      * Runs the periodic work of an idle relay. The short tick is started only while there are
      * requests, to save wake-ups.
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -22,7 +22,7 @@
             final CallerRequest request,
             final HttpResponseStatus status,
             final String reason,
-            final long configVersion,
+            final ConfigurationMonitor.Snapshot configuration,
             final long retryAfterMillis,
             final Optional<QuotaState> quota) {
         final EventLog.Line line =
@@ -30,7 +30,10 @@
                         .put("id", request.callerHeaders().attemptId())
                         .put("status", status.code())
                         .put("reason", reason)
-                        .put("version", configVersion)
+                        .put("version", configuration.version())
+                        .put("version_age_ms", configuration.ageMillis())
+                        .put("directory_silent_ms", configuration.directorySilentMillis())
+                        .put("peer_version", configuration.newestPeerVersion())
                         .put("return_ms", retryAfterMillis);
         quota.ifPresent(
                 state ->
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -65,6 +65,7 @@
     private final RetryBudget mBudget;
     private final ReplicaCrashDetector<RelayCall> mCrashDetector;
     private final ContentQuarantine mQuarantine = new ContentQuarantine();
+    private final ConfigurationMonitor mConfigurationMonitor = new ConfigurationMonitor();
     private final OutputLengthEstimator mOutputLengths = new OutputLengthEstimator();
     private final RelayScheduler mScheduler;
     private final Set<RelayCall> mActive = new LinkedHashSet<>();
@@ -115,6 +116,10 @@
         return mQuarantine;
     }
 
+    ConfigurationMonitor configurationMonitor() {
+        return mConfigurationMonitor;
+    }
+
     UpstreamRequestBuilder requestBuilder() {
         return mRequestBuilder;
     }
@@ -148,6 +153,7 @@
     @Override
     public void onConfiguration(final RelayConfiguration configuration) {
         mConfiguration = configuration;
+        mConfigurationMonitor.onInForce(configuration.version(), nowNanos());
         mQuota.configure(configuration.customers(), nowNanos());
         mQuota.onLevels(mPendingQuotaLevels);
         mPendingQuotaLevels = Map.of();
@@ -410,8 +416,13 @@
             final String reason,
             final long retryAfterMillis,
             final Optional<QuotaState> quota) {
-        final long version = mConfiguration == null ? 0 : mConfiguration.version();
-        mLog.refusedOnArrival(request, status, reason, version, retryAfterMillis, quota);
+        mLog.refusedOnArrival(
+                request,
+                status,
+                reason,
+                mConfigurationMonitor.snapshot(nowNanos()),
+                retryAfterMillis,
+                quota);
         respond(request, status, reason, retryAfterMillis);
     }
 
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
@@ -74,6 +74,19 @@
         }
     }
 
+    @Test
+    void logsHowCurrentTheConfigurationOfARefusalIs() throws Exception {
+        try (RelayFixture relay = new RelayFixture(1)) {
+            assertThat(relay.request("GET", "/unknown/1", ATTEMPT_HEADER, ""))
+                    .startsWith("HTTP/1.1 404");
+            RelayFixture.await(() -> relay.log().contains("no route matches"));
+            assertThat(relay.log())
+                    .containsPattern(
+                            "\"version\":1,\"version_age_ms\":\\d+,"
+                                    + "\"directory_silent_ms\":\\d+,\"peer_version\":0");
+        }
+    }
+
     /** Bytes after a complete response must not be taken for the next response. */
     @Test
     void closesAConnectionWithExtraBytes() throws Exception {
