Derive the waits of the directory watch from the bounds

What callers saw: requests refused with 401 and 404 under an older version, more than 2 s after a newer one was confirmed, at daemons whose connections had failed over 3 s before.

Cause: a watch whose connection falls silent was noticed after a pause of 0.8 s, a wait of 2.5 s, a margin of 0.8 s and a retry of up to 0.38 s, 4.5 s in all. The four were chosen apart from each other and from the time that a daemon has after its connections failed. If all connections fall silent at once, no peer has the change either.

DirectoryTimings divides propagation and recovery time among pause, wait, response timeout and first retry, so that their sum stays within the recovery time: 0.8 + 1.05 + 0.7 + 0.15 s and 0.3 s for the calls with bounds of 2 and 3 s. The settings propagationMillis and recoveryMillis are new and optional. The pause no longer depends on drainMillis alone.

Ruled out: copies of peers, which need a peer that has the change; keep-alive probes, which don't notice a response that the directory lost.

--- a/cli/src/test/java/io/persimmonreel/cli/ConfigurationFileCheckerTest.java
+++ b/cli/src/test/java/io/persimmonreel/cli/ConfigurationFileCheckerTest.java
@@ -42,7 +42,8 @@
                         + "\"readinessAddress\":\"127.0.0.1:2\",\"peerAddress\":\"127.0.0.1:3\","
                         + "\"metricsAddress\":\"127.0.0.1:4\",\"seeds\":[\"127.0.0.1:3\"],"
                         + "\"directoryAddress\":\"127.0.0.1:5\",\"graceSeconds\":8,"
-                        + "\"drainMillis\":2000,\"retryRatio\":0.2,\"retrySlack\":50,"
+                        + "\"drainMillis\":2000,\"propagationMillis\":2000,"
+                        + "\"recoveryMillis\":3000,\"retryRatio\":0.2,\"retrySlack\":50,"
                         + "\"quotaOvershoot\":0.25,\"quotaTolerance\":1000,"
                         + "\"quotaWindowSeconds\":8}";
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryWatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryWatch.java
@@ -18,18 +18,6 @@
  * <p>All methods run on the event loop.
  */
 public final class DirectoryWatch {
-    /** The maximum wait for a change, limited so that a dead connection is noticed. */
-    private static final long WATCH_MILLIS = 2_500;
-
-    /**
-     * The pause between calls, as a fraction of the time within which a change must be known.
-     * Changes accumulate meanwhile, since the directory charges for each call.
-     */
-    private static final double PAUSE_SHARE = 0.4;
-
-    private static final Duration FIRST_RETRY_DELAY = Duration.ofMillis(250);
-    private static final Duration MAXIMUM_RETRY_DELAY = Duration.ofMillis(1_000);
-
     /** The time after an outage during which entries of live replicas may be missing. */
     private static final long RECOVERY_NANOS = Duration.ofMillis(2_200).toNanos();
 
@@ -40,9 +28,9 @@
     private final TimerService mTimers;
     private final TimeSource mTime;
     private final EventLog mLog;
-    private final Duration mPause;
+    private final DirectoryTimings mTimings;
     private final SplittableRandom mRandom;
-    private Duration mRetryDelay = FIRST_RETRY_DELAY;
+    private Duration mRetryDelay;
     private boolean mLoaded;
     private boolean mUnreachable;
     private long mLastResponseNanos;
@@ -55,7 +43,7 @@
      * @param state receives the documents
      * @param timers schedules the calls
      * @param time the clock
-     * @param bound the time within which a change must be known
+     * @param timings the delays and timeouts of calls
      * @param log receives the start and end of outages of the directory
      * @param seed the seed of the random retry delays
      */
@@ -64,14 +52,15 @@
             final DirectoryState state,
             final TimerService timers,
             final TimeSource time,
-            final Duration bound,
+            final DirectoryTimings timings,
             final EventLog log,
             final long seed) {
         mSource = source;
         mState = state;
         mTimers = timers;
         mTime = time;
-        mPause = Duration.ofMillis((long) (bound.toMillis() * PAUSE_SHARE));
+        mTimings = timings;
+        mRetryDelay = timings.firstRetryDelay();
         mLog = log;
         mRandom = new SplittableRandom(seed);
     }
@@ -122,7 +111,7 @@
 
     private void callDirectory() {
         if (mLoaded) {
-            mSource.watch(mState.revision(), WATCH_MILLIS, new ChangeListener());
+            mSource.watch(mState.revision(), mTimings.watchWait().toMillis(), new ChangeListener());
         } else {
             mSource.readAll(new SnapshotListener());
         }
@@ -131,7 +120,7 @@
     private void onResponse() {
         final long now = mTime.monotonicNanos();
         mLastResponseNanos = now;
-        mRetryDelay = FIRST_RETRY_DELAY;
+        mRetryDelay = mTimings.firstRetryDelay();
         if (mUnreachable) {
             mUnreachable = false;
             mOutageEndNanos = now;
@@ -149,7 +138,8 @@
         }
         final long millis = mRetryDelay.toMillis();
         scheduleCall(Duration.ofMillis(millis / 2 + mRandom.nextLong(millis)));
-        mRetryDelay = Duration.ofMillis(Math.min(MAXIMUM_RETRY_DELAY.toMillis(), 2 * millis));
+        mRetryDelay =
+                Duration.ofMillis(Math.min(mTimings.maximumRetryDelay().toMillis(), 2 * millis));
     }
 
     private boolean isAfterOutage() {
@@ -163,7 +153,7 @@
             onResponse();
             mState.applySnapshot(revision, documents, isAfterOutage(), mTime.monotonicNanos());
             mLoaded = true;
-            scheduleCall(mPause);
+            scheduleCall(mTimings.pause());
         }
 
         @Override
@@ -183,7 +173,7 @@
         public void onDocuments(final long revision, final List<Document> documents) {
             onResponse();
             mState.applyChanges(revision, documents);
-            scheduleCall(mPause);
+            scheduleCall(mTimings.pause());
         }
 
         @Override
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -14,6 +14,7 @@
 import io.persimmonreel.daemon.directory.DirectoryFormat;
 import io.persimmonreel.daemon.directory.DirectorySource;
 import io.persimmonreel.daemon.directory.DirectoryState;
+import io.persimmonreel.daemon.directory.DirectoryTimings;
 import io.persimmonreel.daemon.directory.DirectoryWatch;
 import io.persimmonreel.daemon.log.EventLog;
 import io.persimmonreel.daemon.peer.PeerException;
@@ -107,9 +108,10 @@
          *
          * @param loop the event loop on which the source reports results
          * @param address the address of the directory
+         * @param responseTimeout the time for a response, beyond the wait of a watch
          * @return the source
          */
-        DirectorySource create(EventLoop loop, InetSocketAddress address);
+        DirectorySource create(EventLoop loop, InetSocketAddress address, Duration responseTimeout);
     }
 
     /**
@@ -149,13 +151,18 @@
                         seed);
         mServer = new RelayServer(dialect, time, log, mService::limits, mService::bufferedBytes);
         mDirectory = new DirectoryState(format, mService, log);
+        final DirectoryTimings timings =
+                DirectoryTimings.within(settings.propagation(), settings.recovery());
         mDirectoryWatch =
                 new DirectoryWatch(
-                        sources.create(mGroup.next(), settings.directoryAddress()),
+                        sources.create(
+                                mGroup.next(),
+                                settings.directoryAddress(),
+                                timings.responseTimeout()),
                         mDirectory,
                         mTimers,
                         time,
-                        settings.drain(),
+                        timings,
                         log,
                         seed + 3);
         mPeers =
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -26,8 +26,10 @@
  * @param seeds addresses of other daemons to connect to while no peer is connected
  * @param directoryAddress the address of the directory
  * @param grace the time between the signal to stop and the end of the process
- * @param drain the time within which a draining replica must stop receiving new requests, and a new
- *     configuration must be in force
+ * @param propagation the time within which a draining replica must stop receiving new requests, and
+ *     a new configuration must be in force
+ * @param recovery the time after a failure of connections within which a daemon must know all
+ *     earlier changes
  * @param retryRatio the number of retries that each request adds to the budget of the fleet
  * @param retrySlack the number of retries that the fleet may make in a window of the budget beyond
  *     that
@@ -43,13 +45,17 @@
         List<InetSocketAddress> seeds,
         InetSocketAddress directoryAddress,
         Duration grace,
-        Duration drain,
+        Duration propagation,
+        Duration recovery,
         double retryRatio,
         double retrySlack,
         QuotaTolerance quotaTolerance) {
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
+    /** The recovery time of settings without one, as a multiple of the propagation time. */
+    private static final double STANDARD_RECOVERY_FACTOR = 1.5;
+
     /** Makes a defensive copy of the seeds. */
     public RelaySettings {
         seeds = List.copyOf(seeds);
@@ -92,6 +98,9 @@
         }
         final Reader reader = new Reader(name, root);
         final InetSocketAddress peer = reader.address("peerAddress");
+        final double drain = reader.number("drainMillis");
+        final double propagation = reader.number("propagationMillis", drain);
+        final double recovery = propagation * STANDARD_RECOVERY_FACTOR;
         return new RelaySettings(
                 reader.text("name"),
                 reader.text("zone"),
@@ -102,7 +111,8 @@
                 reader.addresses("seeds"),
                 reader.address("directoryAddress"),
                 Duration.ofMillis((long) (reader.number("graceSeconds") * 1_000)),
-                Duration.ofMillis((long) reader.number("drainMillis")),
+                Duration.ofMillis((long) Math.min(drain, propagation)),
+                Duration.ofMillis((long) reader.number("recoveryMillis", recovery)),
                 reader.number("retryRatio"),
                 reader.number("retrySlack"),
                 new QuotaTolerance(
@@ -130,6 +140,10 @@
             return node.asDouble();
         }
 
+        double number(final String field, final double ifAbsent) throws SettingsException {
+            return root.hasNonNull(field) ? number(field) : ifAbsent;
+        }
+
         Duration seconds(final String field) throws SettingsException {
             final double seconds = number(field);
             if (seconds <= 0) {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -68,7 +68,7 @@
                         new FleetSecret("secret".getBytes(StandardCharsets.UTF_8)),
                         new NativeDialect(),
                         new MemoryFormat(),
-                        (loop, address) -> new MemorySource(),
+                        (loop, address, responseTimeout) -> new MemorySource(),
                         time,
                         new EventLog("test", time, new PrintStream(mLog, true)));
         mDaemon.start();
@@ -241,6 +241,7 @@
                 anyPort,
                 grace,
                 Duration.ofSeconds(2),
+                Duration.ofSeconds(3),
                 1.0,
                 50,
                 QuotaTolerance.NONE);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
@@ -17,6 +17,7 @@
              "readinessAddress": "127.0.0.1:2", "peerAddress": "127.0.0.1:3",
              "metricsAddress": "127.0.0.1:4", "seeds": ["127.0.0.1:5"],
              "directoryAddress": "127.0.0.1:6", "graceSeconds": 8, "drainMillis": 2000,
+             "propagationMillis": 1500, "recoveryMillis": 2500,
              "retryRatio": 0.2, "retrySlack": 52, "quotaOvershoot": 0.25,
              "quotaTolerance": 140000, "quotaWindowSeconds": 8, "more": 1}
             """;
@@ -37,6 +38,21 @@
         assertThat(settings.retryRatio()).isEqualTo(0.2);
     }
 
+    @Test
+    void takesTheShorterBoundOfReplicasAndConfiguration() throws Exception {
+        assertThat(read(TEXT).propagation()).hasMillis(1_500);
+        assertThat(read(TEXT).recovery()).hasMillis(2_500);
+        assertThat(read(TEXT.replace("2000", "1000")).propagation()).hasMillis(1_000);
+    }
+
+    @Test
+    void derivesBoundsThatAreAbsent() throws Exception {
+        final RelaySettings settings =
+                read(TEXT.replace("\"propagationMillis\": 1500,", "").replace("2500", "null"));
+        assertThat(settings.propagation()).hasMillis(2_000);
+        assertThat(settings.recovery()).hasMillis(3_000);
+    }
+
     @Test
     void namesTheInvalidField() {
         assertThatThrownBy(() -> read(TEXT.replace("127.0.0.1:3", "nowhere")))
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/SettingsWatchTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/SettingsWatchTest.java
@@ -19,7 +19,8 @@
             {"name": "n", "zone": "z", "callerAddress": "127.0.0.1:1",
              "readinessAddress": "127.0.0.1:2", "peerAddress": "127.0.0.1:3",
              "metricsAddress": "127.0.0.1:4", "seeds": [], "directoryAddress": "127.0.0.1:6",
-             "graceSeconds": 8, "drainMillis": 2000, "retryRatio": 0.2, "retrySlack": 52,
+             "graceSeconds": 8, "drainMillis": 2000,
+             "propagationMillis": 2000, "recoveryMillis": 3000, "retryRatio": 0.2, "retrySlack": 52,
              "quotaOvershoot": 0.25, "quotaTolerance": 0, "quotaWindowSeconds": 8}
             """;
 
