--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectorySource.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectorySource.java
@@ -7,8 +7,8 @@
  * Reads and watches the directory, which holds the configuration and the replica entries as
  * documents.
  *
- * <p>Methods return at once; listeners are called on the event loop. At most one call of each
- * method may be in progress.
+ * <p>Methods return at once; listeners are called on the event loop. At most one call may be in
+ * progress.
  */
 public interface DirectorySource {
     /**
