Notice a silent connection to the platform within the propagation time

Other daemons learn of a change from the watching ones.

PlatformClientTest adds up the waits, the exchange with peers included; it failed with the old ones. The wait of a watch is now 8 s and its read timeout 10 s. No daemon was run against a silent platform.

--- a/daemon/src/main/java/io/persimmonreel/daemon/platform/PlatformClient.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/platform/PlatformClient.java
@@ -37,7 +37,7 @@
 
     private static final int HTTP_OK = 200;
     private static final int HTTP_NOT_MODIFIED = 304;
-    private static final int WATCH_SECONDS = 20;
+    private static final int WATCH_SECONDS = 8;
     private static final int POLL_SECONDS = 30;
 
     /** A leaving host must get no new work after 3 s at most, so the list is read every second. */
@@ -48,7 +48,7 @@
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration CONFIGURATION_READ_TIMEOUT =
-            Duration.ofSeconds(WATCH_SECONDS + 5L);
+            Duration.ofSeconds(WATCH_SECONDS).plusSeconds(2);
     private static final Duration HOSTS_READ_TIMEOUT = Duration.ofSeconds(3);
 
     /**
@@ -117,6 +117,17 @@
         readHosts();
     }
 
+    /**
+     * Returns the longest time in which a watching daemon learns of a change after its connection
+     * has become silent: the read times out, and the next one is made after the longest retry
+     * delay.
+     */
+    static Duration longestDelayOfASilentConnection() {
+        return CONFIGURATION_READ_TIMEOUT
+                .plusNanos(2 * RETRY_NANOS)
+                .plus(CONFIGURATION_CHECK_INTERVAL);
+    }
+
     @Override
     public void close() {
         mClosed = true;
