Refuse prompts by the part that crashes replicas

Cause: evidence was kept by the whole content of a request. Requests with a part that crashes replicas share caller, first part and route with sound ones and are no two alike, so that each began without evidence, and each was sent a second time.

PartQuarantine keeps crashes by part of the prompt, fleet-wide: a response that begins clears the parts of its request, two crashes without one in between refuse a part, parts that were suspected together are told apart by requests that lack one of them, and a refused part is tried again by one request of the fleet after a time that grows. The order in which crashes are reported is now that of their first breaks, as a resend may follow within a millisecond. Native requests may declare parts, too (Persimmonreel-Prompt-Parts).

--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -301,6 +301,33 @@
      */
     record QuotaLevels(Map<String, Long> levels) implements PeerMessage {}
 
+    /**
+     * Reports what is known against parts of prompts that are suspected of crashing replicas.
+     *
+     * @param parts the states of the parts
+     */
+    record PartNotice(List<PartState> parts) implements PeerMessage {}
+
+    /**
+     * Describes the crashes since the last response to a request with one part of a prompt.
+     *
+     * @param service the service's id
+     * @param part the hash of the part's id
+     * @param crashes the number of crashes, 0 if a response has begun since
+     * @param ageMillis the time since the last crash or, without crashes, since the response, in
+     *     milliseconds
+     * @param trialMillis the time for which a request that tries the part may still run, in
+     *     milliseconds, 0 if there is none
+     * @param rivals the hashes of the ids of the parts that may be the cause instead
+     */
+    record PartState(
+            String service,
+            long part,
+            int crashes,
+            long ageMillis,
+            long trialMillis,
+            List<Long> rivals) {}
+
     /**
      * Asks a peer for the documents of the directory.
      *
--- a/core/src/main/java/io/persimmonreel/core/placement/WorkSize.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/WorkSize.java
@@ -24,10 +24,11 @@
     /**
      * Describes a part of a prompt that other requests may have in common.
      *
+     * @param id the hash of the part's own id
      * @param hash the hash of the ids of this part and of all parts before it
      * @param tokens the number of tokens of the part
      */
-    public record PromptPart(long hash, int tokens) {}
+    public record PromptPart(long id, long hash, int tokens) {}
 
     /**
      * Returns the hash of the whole prompt, which is the same for all requests of one session.
--- a/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -34,7 +34,7 @@
     }
 
     private static WorkSize session(final long hash) {
-        return new WorkSize(6_000, 300, 300, List.of(new PromptPart(hash, 6_000)));
+        return new WorkSize(6_000, 300, 300, List.of(new PromptPart(hash, hash, 6_000)));
     }
 
     /** Tests sessions with several requests, whose prompt should be processed only once. */
--- a/core/src/test/java/io/persimmonreel/core/placement/SimulatedFleet.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/SimulatedFleet.java
@@ -335,7 +335,9 @@
                                     kind.mPrompt,
                                     kind.mOutput,
                                     400,
-                                    List.of(new WorkSize.PromptPart(session, kind.mPrompt))),
+                                    List.of(
+                                            new WorkSize.PromptPart(
+                                                    session, session, kind.mPrompt))),
                             mNowMillis,
                             output);
             mResults.get(kind).mRequests++;
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -51,13 +51,15 @@
                     PeerMessage.RelayDigest.class,
                     PeerMessage.DirectoryRequest.class,
                     PeerMessage.DirectoryCopy.class,
-                    PeerMessage.QuotaLevels.class);
+                    PeerMessage.QuotaLevels.class,
+                    PeerMessage.PartNotice.class);
 
     private static final List<Class<? extends Record>> NESTED_TYPES =
             List.of(
                     PeerMessage.PeerLoad.class,
                     PeerMessage.MemberNews.class,
                     PeerMessage.ReplicaWork.class,
+                    PeerMessage.PartState.class,
                     RequestIdentity.class,
                     DecisionRecord.class);
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerHeaders.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerHeaders.java
@@ -29,6 +29,16 @@
         parts = List.copyOf(parts);
     }
 
+    /**
+     * Returns the ids of the parts that requests of several sessions may share: all but the last,
+     * which belongs to the request or its session.
+     *
+     * @return the ids, empty if there are less than two parts
+     */
+    public List<Long> sharedPartIds() {
+        return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+    }
+
     /**
      * Returns the number of tokens that count towards a quota.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
@@ -4,26 +4,54 @@
 import com.dynatrace.hash4j.hashing.Hasher128;
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBufUtil;
+import io.persimmonreel.core.peer.PeerMessage;
+import io.persimmonreel.core.peer.PeerMessage.PartNotice;
+import io.persimmonreel.core.peer.PeerMessage.PartState;
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.quarantine.Fingerprint;
+import io.persimmonreel.core.quarantine.PartDecision;
+import io.persimmonreel.core.quarantine.PartQuarantine;
 import io.persimmonreel.core.quarantine.Quarantine;
 import io.persimmonreel.core.quarantine.QuarantineDecision;
 import io.persimmonreel.core.replica.Replica;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
-/** Refuses or isolates requests whose content is suspected to crash replicas. Not thread safe. */
+/**
+ * Refuses or isolates requests whose content, or a part of whose prompt, is suspected to crash
+ * replicas. Not thread safe.
+ */
 final class ContentQuarantine {
     private static final Hasher128 HASHER = Hashing.murmur3_128();
 
+    /** The Retry-After time for callers whose content crashes replicas. */
+    private static final long CONTENT_RETRY_AFTER_MILLIS = 10_000;
+
+    private final RelayLog mLog;
     private final Quarantine mQuarantine = new Quarantine();
-    private Consumer<QuarantineNotice> mNoticeConsumer = notice -> {};
+    private final PartQuarantine mParts;
+    private Consumer<PeerMessage> mNoticeConsumer = notice -> {};
+
+    /**
+     * Describes why and for how long a request is refused.
+     *
+     * @param reason the reason, one short sentence
+     * @param retryAfterMillis the time after which the caller may retry, in milliseconds
+     */
+    record Refusal(String reason, long retryAfterMillis) {}
+
+    ContentQuarantine(final RelayLog log, final long seed) {
+        mLog = log;
+        mParts = new PartQuarantine(new SplittableRandom(seed).nextDouble());
+    }
 
     /** Sets the consumer that sends notices to other daemons. */
-    void sendNoticesTo(final Consumer<QuarantineNotice> consumer) {
+    void sendNoticesTo(final Consumer<PeerMessage> consumer) {
         mNoticeConsumer = consumer;
     }
 
@@ -31,10 +59,42 @@
         mQuarantine.onNotice(notice, nowNanos);
     }
 
-    boolean isQuarantined(final RelayCall call, final long nowNanos) {
-        return !mQuarantine.isEmpty()
+    void onPartNotice(final PartNotice notice, final long nowNanos) {
+        mParts.onPeerStates(notice.parts(), nowNanos);
+        notice.parts().forEach(state -> mLog.promptPart("part-told", state));
+    }
+
+    /** Returns what a daemon that has just connected must know, or empty if there is nothing. */
+    Optional<PartNotice> partNotice(final long nowNanos) {
+        final List<PartState> states = mParts.states(nowNanos);
+        return states.isEmpty() ? Optional.empty() : Optional.of(new PartNotice(states));
+    }
+
+    /** Returns why a request that has just arrived is refused, or empty if it may wait. */
+    Optional<Refusal> refusalOnArrival(final RelayCall call, final long nowNanos) {
+        if (!mQuarantine.isEmpty()
                 && mQuarantine.decision(fingerprint(call), nowNanos).kind()
-                        == QuarantineDecision.Kind.QUARANTINED;
+                        == QuarantineDecision.Kind.QUARANTINED) {
+            return Optional.of(
+                    new Refusal(
+                            "requests of this content crashed replicas",
+                            CONTENT_RETRY_AFTER_MILLIS));
+        }
+        return refusalOfParts(call, nowNanos);
+    }
+
+    /**
+     * Returns why a request must not be sent now because of a part of its prompt, or empty if it
+     * may be.
+     */
+    Optional<Refusal> refusalOfParts(final RelayCall call, final long nowNanos) {
+        final PartDecision decision = decideParts(call, nowNanos);
+        return decision.kind() == PartDecision.Kind.REFUSE
+                ? Optional.of(
+                        new Refusal(
+                                "a part of the prompt crashed replicas",
+                                decision.retryAfterMillis()))
+                : Optional.empty();
     }
 
     /**
@@ -50,13 +110,24 @@
         return excluded;
     }
 
-    void onSent(final RelayCall call) {
+    void onSent(final RelayCall call, final long nowNanos) {
         if (!mQuarantine.isEmpty()) {
             mQuarantine.onDispatched(fingerprint(call), call.replica().entry().id());
         }
+        if (decideParts(call, nowNanos).kind() == PartDecision.Kind.TRIAL) {
+            report("part-tried", mParts.onTrial(service(call), sharedParts(call), nowNanos));
+        }
+    }
+
+    /** Records that the response to a request has begun, which shows that its parts are sound. */
+    void onBegun(final RelayCall call, final long nowNanos) {
+        if (!mParts.isEmpty()) {
+            report("part-cleared", mParts.onBegun(service(call), sharedParts(call), nowNanos));
+        }
     }
 
     void onCompleted(final RelayCall call, final long nowNanos) {
+        onBegun(call, nowNanos);
         if (!mQuarantine.isEmpty()) {
             mQuarantine
                     .onCompleted(fingerprint(call), call.replica().entry().id(), true, nowNanos)
@@ -64,15 +135,77 @@
         }
     }
 
-    /** Records that a replica crashed while requests ran on it. */
-    void onCrash(final Replica replica, final Collection<RelayCall> running, final long nowNanos) {
+    /**
+     * Records that a replica crashed.
+     *
+     * @param replica the replica
+     * @param broken the requests that ran there
+     * @param active all requests of this daemon
+     * @param crashNanos the monotonic time of the crash in nanoseconds
+     * @param nowNanos the current monotonic time in nanoseconds
+     */
+    void onCrash(
+            final Replica replica,
+            final Collection<BrokenExchange> broken,
+            final Collection<RelayCall> active,
+            final long crashNanos,
+            final long nowNanos) {
         final List<Fingerprint> contents =
-                running.stream().map(ContentQuarantine::fingerprint).toList();
+                broken.stream().map(exchange -> fingerprint(exchange.call())).toList();
         mQuarantine.onCrash(replica.entry().id(), contents, nowNanos).forEach(mNoticeConsumer);
+        final List<PartQuarantine.Suspect> suspects =
+                broken.stream()
+                        .filter(exchange -> !exchange.begun())
+                        .map(
+                                exchange ->
+                                        new PartQuarantine.Suspect(
+                                                sharedParts(exchange.call()), exchange.sentNanos()))
+                        .toList();
+        final String service = replica.entry().upstream();
+        report(
+                "part-suspected",
+                mParts.onCrash(
+                        service, suspects, begunParts(service, active), crashNanos, nowNanos));
     }
 
     void onTimer(final long nowNanos) {
         mQuarantine.onTimer(nowNanos);
+        mParts.onTimer(nowNanos);
+    }
+
+    private PartDecision decideParts(final RelayCall call, final long nowNanos) {
+        return mParts.isEmpty()
+                ? PartDecision.ALLOW
+                : mParts.decide(service(call), sharedParts(call), nowNanos);
+    }
+
+    /** Logs changes and sends them to the other daemons. */
+    private void report(final String event, final List<PartState> changed) {
+        if (!changed.isEmpty()) {
+            changed.forEach(state -> mLog.promptPart(event, state));
+            mNoticeConsumer.accept(new PartNotice(changed));
+        }
+    }
+
+    /** Returns the parts of the requests whose responses are arriving. */
+    private static Set<Long> begunParts(final String service, final Collection<RelayCall> active) {
+        final Set<Long> parts = new HashSet<>();
+        for (final RelayCall call : active) {
+            if (call.isAtReplica()
+                    && call.dispatch().hasEvents()
+                    && service(call).equals(service)) {
+                parts.addAll(sharedParts(call));
+            }
+        }
+        return parts;
+    }
+
+    private static String service(final RelayCall call) {
+        return call.task().upstream();
+    }
+
+    private static List<Long> sharedParts(final RelayCall call) {
+        return call.task().request().callerHeaders().sharedPartIds();
     }
 
     /**
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
@@ -4,12 +4,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.List;
 
 /**
  * Reads and writes Persimmonreel's own header fields, which begin with {@code Persimmonreel-}.
  *
- * <p>Callers authenticate with a bearer token and do not declare prompt sizes.
+ * <p>Callers authenticate with a bearer token and may declare the parts of their prompts, but not
+ * the size.
  */
 public final class NativeDialect implements RelayDialect {
     private static final String ATTEMPT = "Persimmonreel-Attempt";
@@ -17,6 +17,10 @@
     private static final String REPLICA = "Persimmonreel-Replica";
     private static final String CUSTOMER = "Persimmonreel-Customer";
     private static final String NOT_RUN = "Persimmonreel-Not-Run";
+
+    /** The parts of the prompt, see {@link PromptPartsHeader}. */
+    private static final String PROMPT_PARTS = "Persimmonreel-Prompt-Parts";
+
     private static final String RESUME_AFTER = "Last-Event-ID";
     private static final DispatchHeaderNames DISPATCH_FIELDS =
             new DispatchHeaderNames(DEADLINE, REPLICA, CUSTOMER, RESUME_AFTER);
@@ -39,7 +43,7 @@
                 UNKNOWN,
                 UNKNOWN,
                 UNKNOWN,
-                List.of(),
+                PromptPartsHeader.parse(headers.get(PROMPT_PARTS)),
                 headers.get(RESUME_AFTER));
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -5,6 +5,7 @@
 import io.persimmonreel.core.peer.PeerMessage;
 import io.persimmonreel.core.peer.PeerMessage.DirectoryCopy;
 import io.persimmonreel.core.peer.PeerMessage.DirectoryRequest;
+import io.persimmonreel.core.peer.PeerMessage.PartNotice;
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.peer.PeerMessage.RelayDigest;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaWork;
@@ -141,7 +142,7 @@
         return mPeers.size();
     }
 
-    void broadcast(final QuarantineNotice notice) {
+    void broadcast(final PeerMessage notice) {
         mTransport.sendAll(mPeers.keySet(), notice);
     }
 
@@ -198,6 +199,9 @@
             mTransport.send(
                     peer.incarnation(), new PeerMessage.QuotaLevels(mService.quota().levels()));
         }
+        mService.quarantine()
+                .partNotice(mTime.monotonicNanos())
+                .ifPresent(notice -> mTransport.send(peer.incarnation(), notice));
     }
 
     @Override
@@ -228,13 +232,12 @@
             }
         } else if (message instanceof QuarantineNotice notice) {
             onNotice(from.incarnation(), notice, now);
+        } else if (message instanceof PartNotice notice) {
+            mService.quarantine().onPartNotice(notice, now);
+            forward(from.incarnation(), notice);
         }
     }
 
-    /**
-     * Applies a quarantine notice. A hub forwards a notice from a leaf to all its other peers, and
-     * one from a hub only to its leaves.
-     */
     private void onNotice(final Incarnation from, final QuarantineNotice notice, final long now) {
         mService.quarantine().onNotice(notice, now);
         mLog.event("quarantine", "told")
@@ -242,6 +245,14 @@
                 .put("replicas", notice.replicas().size())
                 .put("stopped", notice.quarantined())
                 .write();
+        forward(from, notice);
+    }
+
+    /**
+     * Forwards a notice, if this daemon is a hub: one from a leaf to all other peers, and one from
+     * a hub only to the leaves.
+     */
+    private void forward(final Incarnation from, final PeerMessage notice) {
         if (mSelector.topology().isHub()) {
             final Set<Incarnation> recipients = new HashSet<>();
             for (final Map.Entry<Incarnation, Peer> peer : mPeers.entrySet()) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -1,6 +1,7 @@
 package io.persimmonreel.daemon.relay;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.persimmonreel.core.peer.PeerMessage.PartState;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.quota.QuotaState;
 import io.persimmonreel.core.replica.Replica;
@@ -172,6 +173,18 @@
                 .write();
     }
 
+    /** Logs a part of prompts that came under suspicion, was refused, tried or cleared. */
+    void promptPart(final String event, final PartState state) {
+        mLog.event("quarantine", event)
+                .put("upstream", state.service())
+                .put("prompt_part", Long.toHexString(state.part()))
+                .put("crashes", state.crashes())
+                .put("age_ms", state.ageMillis())
+                .put("trial_ms", state.trialMillis())
+                .put("rivals", state.rivals().size())
+                .write();
+    }
+
     void avoided(final Replica replica, final String reason) {
         mLog.event("replica", "avoided")
                 .put("replica", replica.entry().id())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -132,6 +132,11 @@
     private boolean place(final RelayCall call) {
         final long now = mService.nowNanos();
         final RelayTask task = call.task();
+        final Optional<ContentQuarantine.Refusal> refusal = mQuarantine.refusalOfParts(call, now);
+        if (refusal.isPresent()) {
+            onQuarantined(call, refusal.get());
+            return true;
+        }
         final List<Replica> replicas = mReplicas.ofUpstream(task.upstream());
         final Optional<Choice> chosen = choose(call, replicas, now);
         if (chosen.isEmpty()) {
@@ -159,7 +164,7 @@
                 mQueue.remove(call);
                 mLog.sent(call, choice, replicas.size(), now);
                 call.dispatch(choice);
-                mQuarantine.onSent(call);
+                mQuarantine.onSent(call, now);
                 return true;
             case REFUSE:
                 if (!wasDispatched) {
@@ -195,6 +200,16 @@
                 : (mProcessEndNanos - now) / NANOS_PER_MILLI;
     }
 
+    private void onQuarantined(final RelayCall call, final ContentQuarantine.Refusal refusal) {
+        if (call.mayHaveRun() || call.hasResponseStarted()) {
+            mQueue.remove(call);
+            mService.fail(call, HttpResponseStatus.BAD_GATEWAY, refusal.reason());
+        } else {
+            mLog.refusedWhileQueued(call, refusal.reason(), null, refusal.retryAfterMillis());
+            refuse(call, refusal.reason(), refusal.retryAfterMillis());
+        }
+    }
+
     private boolean onNoReplica(final RelayCall call, final long now) {
         if (call.mayHaveRun() || call.hasResponseStarted()) {
             mQueue.remove(call);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -42,9 +42,6 @@
     /** The Retry-After time for callers whose requests arrive before the first configuration. */
     private static final long NO_CONFIGURATION_RETRY_AFTER_MILLIS = 300;
 
-    /** The Retry-After time for callers whose content crashes replicas. */
-    private static final long QUARANTINE_RETRY_AFTER_MILLIS = 10_000;
-
     /**
      * The minimum prompt size for measuring the prefill speed; the time of shorter prompts is
      * mostly fixed cost.
@@ -63,8 +60,8 @@
     private final StallRule mStallRule = new StallRule();
     private final FleetQuota mQuota;
     private final RetryBudget mBudget;
-    private final ReplicaCrashDetector<RelayCall> mCrashDetector;
-    private final ContentQuarantine mQuarantine = new ContentQuarantine();
+    private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
+    private final ContentQuarantine mQuarantine;
     private final ConfigurationMonitor mConfigurationMonitor = new ConfigurationMonitor();
     private final OutputLengthEstimator mOutputLengths = new OutputLengthEstimator();
     private final RelayScheduler mScheduler;
@@ -90,6 +87,7 @@
         mRequestBuilder = new UpstreamRequestBuilder(dialect);
         mConnections = connections;
         mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
+        mQuarantine = new ContentQuarantine(log, seed + 2);
         mBudget = budget;
         mQuota = quota;
         mResolver = new RequestResolver(quota, mOutputLengths, this::hasRoom, seed);
@@ -254,9 +252,12 @@
                                         && call.dispatch().sentNanos() - beforeNanos < 0);
     }
 
-    private void onCrash(final Replica replica, final Collection<RelayCall> calls) {
-        mLog.crashed(replica, calls.size());
-        mQuarantine.onCrash(replica, calls, nowNanos());
+    private void onCrash(
+            final Replica replica,
+            final Collection<BrokenExchange> exchanges,
+            final long crashNanos) {
+        mLog.crashed(replica, exchanges.size());
+        mQuarantine.onCrash(replica, exchanges, mActive, crashNanos, nowNanos());
     }
 
     /** Accepts from now on only requests that can be served before the process ends. */
@@ -317,7 +318,9 @@
         if (replica.health().onFailure(nowNanos())) {
             mLog.avoided(replica, reason);
         }
-        mCrashDetector.onBroken(call.replica(), call, nowNanos());
+        final BrokenExchange exchange =
+                new BrokenExchange(call, call.dispatch().sentNanos(), call.dispatch().hasEvents());
+        mCrashDetector.onBroken(replica, exchange, nowNanos());
     }
 
     void onReplicaError(final RelayCall call, final HttpResponseStatus status) {
@@ -341,6 +344,7 @@
         final Dispatch dispatch = call.dispatch();
         final int prefill = dispatch.choice().prefillTokens();
         mScheduler.onPrefillDone(call);
+        mQuarantine.onBegun(call, now);
         mLog.firstEvent(call, now);
         dispatch.replica()
                 .onPredictionError(dispatch.firstEventMillis() - dispatch.choice().firstMillis());
@@ -393,13 +397,15 @@
 
     private void accept(final RelayCall call) {
         final RelayTask task = call.task();
-        if (mQuarantine.isQuarantined(call, nowNanos())) {
+        final Optional<ContentQuarantine.Refusal> refusal =
+                mQuarantine.refusalOnArrival(call, nowNanos());
+        if (refusal.isPresent()) {
             mQuota.refund(task.customerName(), task.units(), nowNanos());
             refuse(
                     task.request(),
                     HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    "requests of this content crashed replicas",
-                    QUARANTINE_RETRY_AFTER_MILLIS,
+                    refusal.get().reason(),
+                    refusal.get().retryAfterMillis(),
                     Optional.empty());
             return;
         }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaCrashDetector.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaCrashDetector.java
@@ -3,8 +3,8 @@
 import io.persimmonreel.core.replica.Replica;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -24,7 +24,9 @@
     private static final long DETECTION_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
 
     private final Predicate<Replica> mHasOpenConnection;
-    private final Map<Replica, BrokenRequests<T>> mBrokenByReplica = new HashMap<>();
+
+    /** In the order of the first breaks, in which crashes are reported. */
+    private final Map<Replica, BrokenRequests<T>> mBrokenByReplica = new LinkedHashMap<>();
 
     /** Holds the requests whose connections to one replica broke. */
     private static final class BrokenRequests<T> {
@@ -61,8 +63,9 @@
          *
          * @param replica the replica
          * @param requests the requests that ran there
+         * @param crashNanos the time of the first break, as monotonic time in nanoseconds
          */
-        void onCrash(Replica replica, Collection<T> requests);
+        void onCrash(Replica replica, Collection<T> requests, long crashNanos);
     }
 
     /**
@@ -98,7 +101,7 @@
             entries.remove();
             if (!mHasOpenConnection.test(entry.getKey())
                     && !running.hasOlderRequest(entry.getKey(), broken.mFirstBreakNanos)) {
-                listener.onCrash(entry.getKey(), broken.mRequests);
+                listener.onCrash(entry.getKey(), broken.mRequests, broken.mFirstBreakNanos);
             }
         }
     }
--- a/daemon/src/test/java/io/persimmonreel/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/peer/PeerCodecTest.java
@@ -43,6 +43,12 @@
             final PeerMessage reply =
                     new PeerMessage.ExplainReply(
                             4, List.of(new DecisionRecord(1, "r", Step.ROUTE, "sent", "a", "b")));
+            final PeerMessage parts =
+                    new PeerMessage.PartNotice(
+                            List.of(
+                                    new PeerMessage.PartState(
+                                            "s", -7L, 2, 1_500, 0, List.of(8L, -9L))));
+            assertThat(mCodec.decode(mCodec.encode((Record) parts))).isEqualTo(parts);
             assertThat(mCodec.decode(mCodec.encode(HEARTBEAT))).isEqualTo(HEARTBEAT);
             assertThat(mCodec.decode(mCodec.encode((Record) claim))).isEqualTo(claim);
             assertThat(mCodec.decode(mCodec.encode((Record) reply))).isEqualTo(reply);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaCrashDetectorTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaCrashDetectorTest.java
@@ -23,7 +23,7 @@
         mDetector.onTimer(
                 (replica, before) -> mHasOlderRequest,
                 AFTER_WINDOW_NANOS,
-                (replica, requests) -> mCrashSizes.add(requests.size()));
+                (replica, requests, crashNanos) -> mCrashSizes.add(requests.size()));
     }
 
     /** A broken connection is no crash while an idle connection to the same replica is open. */
--- a/experiment/src/main/java/io/persimmonreel/experiment/routing/PlacementBenchmark.java
+++ b/experiment/src/main/java/io/persimmonreel/experiment/routing/PlacementBenchmark.java
@@ -60,8 +60,8 @@
                             100,
                             300,
                             List.of(
-                                    new WorkSize.PromptPart(1, 60),
-                                    new WorkSize.PromptPart(i + 2, 1_740))));
+                                    new WorkSize.PromptPart(1, 1, 60),
+                                    new WorkSize.PromptPart(i + 2, i + 2, 1_740))));
         }
     }
 
