Log no time of the first event of a response without events

The dispatch has no first event there, and its time was taken as 0. The test failed before. The fields of the first event are now written only if there was one.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -124,17 +124,19 @@
                 call.task().rank(),
                 nowNanos - call.task().request().arrivedNanos());
         mMetrics.onEnded(call.task().upstream(), call.task().rank(), "answered");
-        mLog.routine("request", "answered")
-                .put("id", call.task().id())
-                .put("status", status.code())
-                .put("replica", call.replica().entry().id())
-                .put("sends", call.dispatchCount())
-                .put("events", events)
-                .put("predicted_first_ms", Math.round(call.dispatch().choice().firstMillis()))
-                .put("first_ms", Math.round(call.dispatch().firstEventMillis()))
-                .put("pause_ms", Math.round(call.dispatch().longestPauseMillis()))
-                .put("ms", Math.round(call.task().waitedMillis(nowNanos)))
-                .write();
+        final EventLog.Line line =
+                mLog.routine("request", "answered")
+                        .put("id", call.task().id())
+                        .put("status", status.code())
+                        .put("replica", call.replica().entry().id())
+                        .put("sends", call.dispatchCount())
+                        .put("events", events);
+        if (call.dispatch().hasEvents()) {
+            line.put("predicted_first_ms", Math.round(call.dispatch().choice().firstMillis()))
+                    .put("first_ms", Math.round(call.dispatch().firstEventMillis()))
+                    .put("pause_ms", Math.round(call.dispatch().longestPauseMillis()));
+        }
+        line.put("ms", Math.round(call.task().waitedMillis(nowNanos))).write();
     }
 
     void cancelled(final RelayCall call, final long nowNanos) {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
@@ -74,6 +74,16 @@
         }
     }
 
+    @Test
+    void logsNoTimeOfTheFirstEventOfAResponseWithoutEvents() throws Exception {
+        try (RelayFixture relay = new RelayFixture(1)) {
+            relay.replica(0).addScript(e -> respond(e, 200, "whole"));
+            assertThat(relay.request("POST", "/charge/1", ATTEMPT_HEADER, "x")).endsWith("whole");
+            RelayFixture.await(() -> relay.log().contains("\"event\":\"answered\""));
+            assertThat(relay.log()).contains("\"events\":0").doesNotContain("\"first_ms\":-");
+        }
+    }
+
     @Test
     void logsHowCurrentTheConfigurationOfARefusalIs() throws Exception {
         try (RelayFixture relay = new RelayFixture(1)) {
