Read all documents after a response of the watch that can't be used

What callers would see: requests handled under an old version until the directory drops its history, 20 s on the users' platform.

Cause: the response of a watch holds all changes since a revision, so that three versions of a configuration of 1 MB exceed the 4 MB that a daemon accepts. The failed watch was repeated from the same revision and got the same response. A response that is no JSON was treated the same way.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectorySource.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectorySource.java
@@ -48,6 +48,16 @@
         /** Reports that the directory no longer has the changes since the given revision. */
         void onHistoryLost();
 
+        /**
+         * Reports a response that can't be used, for example because it is too long. The same call
+         * would get the same response.
+         *
+         * @param reason the reason, one short sentence
+         */
+        default void onUnusable(final String reason) {
+            onFailure(reason);
+        }
+
         /**
          * Reports that the call failed.
          *
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryWatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryWatch.java
@@ -184,6 +184,12 @@
             callDirectory();
         }
 
+        @Override
+        public void onUnusable(final String reason) {
+            mLoaded = false;
+            onUnreachable(reason);
+        }
+
         @Override
         public void onFailure(final String reason) {
             onUnreachable(reason);
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/HttpGetClient.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/HttpGetClient.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -47,6 +48,13 @@
          */
         void onResponse(int status, byte[] body);
 
+        /**
+         * Reports a response that is malformed or too long.
+         *
+         * @param reason the reason, one short sentence
+         */
+        void onUnusable(String reason);
+
         /**
          * Reports that there is no response.
          *
@@ -134,14 +142,26 @@
     }
 
     private void fail(final String reason) {
+        final Callback callback = closeCall();
+        if (callback != null) {
+            callback.onFailure(reason);
+        }
+    }
+
+    private void reject(final String reason) {
+        final Callback callback = closeCall();
+        if (callback != null) {
+            callback.onUnusable(reason);
+        }
+    }
+
+    private Callback closeCall() {
         final Callback callback = endCall();
         if (mChannel != null) {
             mChannel.close();
             mChannel = null;
         }
-        if (callback != null) {
-            callback.onFailure(reason);
-        }
+        return callback;
     }
 
     private Callback endCall() {
@@ -163,7 +183,7 @@
                 return;
             }
             if (response.decoderResult().isFailure()) {
-                fail("the response is malformed");
+                reject("the response is malformed");
                 return;
             }
             if (!HttpUtil.isKeepAlive(response)) {
@@ -187,7 +207,11 @@
         @Override
         public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
             if (context.channel() == mChannel) {
-                fail(String.valueOf(cause.getMessage()));
+                if (cause instanceof TooLongFrameException) {
+                    reject("the response exceeds " + mMaximumBytes + " bytes");
+                } else {
+                    fail(String.valueOf(cause.getMessage()));
+                }
             }
             context.close();
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryWatchTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryWatchTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -126,6 +127,16 @@
             checkSilentConnections(recovery, () -> mDirectory.dropHistory());
         }
 
+        /** The same watch would return the same changes, however often it is repeated. */
+        @Test
+        void isInForceThoughTheResponseOfTheWatchCannotBeUsed() {
+            startWatch(Duration.ofMillis(2_000), Duration.ofMillis(3_000), 4);
+            final long published = mDirectory.publish();
+            mDirectory.spoilChanges();
+            mTimers.advance(Duration.ofMillis(2_000));
+            assertThat(mVersion).isEqualTo(published);
+        }
+
         private void checkSilentConnections(final long recovery, final Runnable besides) {
             for (Duration age = Duration.ZERO;
                     age.compareTo(LONGEST_CYCLE) < 0;
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/VirtualDirectory.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/VirtualDirectory.java
@@ -23,6 +23,7 @@
     private long mOldestRevision;
     private int mConnection;
     private int mFirstWorkingConnection;
+    private long mFirstUsableRevision;
 
     VirtualDirectory(final VirtualTimers timers, final Duration responseTimeout) {
         mTimers = timers;
@@ -39,6 +40,11 @@
         mOldestRevision = mRevision;
     }
 
+    /** Makes all responses with a change so far unusable, for example because they are too long. */
+    void spoilChanges() {
+        mFirstUsableRevision = mRevision;
+    }
+
     /** Silences the open connection, also for a call that is in progress. */
     void silenceConnection() {
         mFirstWorkingConnection = mConnection + 1;
@@ -64,6 +70,8 @@
                 now -> {
                     if (afterRevision < mOldestRevision) {
                         call.respond(Listener::onHistoryLost);
+                    } else if (afterRevision < mFirstUsableRevision) {
+                        call.respond(listener -> listener.onUnusable("too long"));
                     } else if (mRevision > afterRevision || now >= endNanos) {
                         call.respond(this::sendDocuments);
                     } else {
