--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryWatchTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryWatchTest.java
@@ -132,7 +132,7 @@
         void isInForceThoughTheResponseOfTheWatchCannotBeUsed() {
             startWatch(Duration.ofMillis(2_000), Duration.ofMillis(3_000), 4);
             final long published = mDirectory.publish();
-            mDirectory.spoilChanges();
+            mDirectory.makeChangesUnusable();
             mTimers.advance(Duration.ofMillis(2_000));
             assertThat(mVersion).isEqualTo(published);
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/VirtualDirectory.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/VirtualDirectory.java
@@ -41,7 +41,7 @@
     }
 
     /** Makes all responses with a change so far unusable, for example because they are too long. */
-    void spoilChanges() {
+    void makeChangesUnusable() {
         mFirstUsableRevision = mRevision;
     }
 
