Bound the size of notices on parts of prompts

A crash with many requests of many parts gave a notice of up to 4,032 parts, which with their rivals exceeds the maximum frame, so that peers would not have got it. The test failed before: 4,032 states against 1,024. At most 256 parts are now suspected of a crash, and a daemon that has just connected gets at most 1,024 states, refused parts first.

--- a/core/src/main/java/io/persimmonreel/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/io/persimmonreel/core/quarantine/PartQuarantine.java
@@ -3,6 +3,7 @@
 import io.persimmonreel.core.peer.PeerMessage.PartState;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -49,8 +50,11 @@
 
     private static final int MAXIMUM_ENTRIES = 4_096;
 
-    /** More requests wait for their response at one replica only if it is overloaded. */
-    private static final int MAXIMUM_SUSPECTS = 64;
+    /** Bounds the parts that are suspected of one crash, as callers may send many. */
+    private static final int MAXIMUM_SUSPECTED_PARTS = 256;
+
+    /** The maximum number of states for one peer, which fit into a frame. */
+    private static final int MAXIMUM_STATES = 1_024;
 
     private final Map<PartKey, PartEvidence> mEvidence = new LinkedHashMap<>();
     private final double mRefusalFactor;
@@ -162,18 +166,7 @@
             final Set<Long> begunParts,
             final long crashNanos,
             final long nowNanos) {
-        final Map<PartKey, Long> sentByPart = new HashMap<>();
-        for (final Suspect suspect :
-                suspects.subList(0, Math.min(suspects.size(), MAXIMUM_SUSPECTS))) {
-            for (final Long part : suspect.parts()) {
-                if (!begunParts.contains(part)) {
-                    sentByPart.merge(
-                            new PartKey(service, part),
-                            suspect.sentNanos(),
-                            (a, b) -> a - b >= 0 ? a : b);
-                }
-            }
-        }
+        final Map<PartKey, Long> sentByPart = lastSentByPart(service, suspects, begunParts);
         final Set<PartKey> refused = new HashSet<>(sentByPart.keySet());
         refused.removeIf(key -> crashesOf(key) < REFUSAL_CRASHES);
         final List<PartState> changed = new ArrayList<>();
@@ -227,20 +220,18 @@
     }
 
     /**
-     * Returns the states of all suspected and refused parts, for a daemon that has just started.
+     * Returns the states of suspected and refused parts, for a daemon that has just started.
      *
      * @param nowNanos the current monotonic time in nanoseconds
-     * @return the states
+     * @return the states of at most 1,024 parts, those with the most crashes first
      */
     public List<PartState> states(final long nowNanos) {
-        final List<PartState> states = new ArrayList<>();
-        mEvidence.forEach(
-                (key, evidence) -> {
-                    if (evidence.crashes() > 0) {
-                        states.add(evidence.toState(key.service(), key.part(), nowNanos));
-                    }
-                });
-        return states;
+        return mEvidence.entrySet().stream()
+                .map(e -> e.getValue().toState(e.getKey().service(), e.getKey().part(), nowNanos))
+                .filter(state -> state.crashes() > 0)
+                .sorted(Comparator.comparingInt(PartState::crashes).reversed())
+                .limit(MAXIMUM_STATES)
+                .toList();
     }
 
     /**
@@ -252,6 +243,23 @@
         mEvidence.values().removeIf(evidence -> nowNanos - expiryNanos(evidence) >= 0);
     }
 
+    /** Returns when the last request with each suspected part was sent, in nanoseconds. */
+    private static Map<PartKey, Long> lastSentByPart(
+            final String service, final List<Suspect> suspects, final Set<Long> begunParts) {
+        final Map<PartKey, Long> sentByPart = new HashMap<>();
+        for (final Suspect suspect : suspects) {
+            for (final Long part : suspect.parts()) {
+                final PartKey key = new PartKey(service, part);
+                if (!begunParts.contains(part)
+                        && (sentByPart.size() < MAXIMUM_SUSPECTED_PARTS
+                                || sentByPart.containsKey(key))) {
+                    sentByPart.merge(key, suspect.sentNanos(), (a, b) -> a - b >= 0 ? a : b);
+                }
+            }
+        }
+        return sentByPart;
+    }
+
     /** Removes a cleared part from the rivals of other parts of its service. */
     private void removeRival(final PartKey cleared) {
         mEvidence.replaceAll(
--- a/core/src/test/java/io/persimmonreel/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quarantine/PartQuarantineTest.java
@@ -6,8 +6,10 @@
 import io.persimmonreel.core.quarantine.PartQuarantine.Suspect;
 import io.persimmonreel.core.time.ManualTime;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -138,6 +140,41 @@
         }
     }
 
+    @Nested
+    class Notices {
+        private static final int MAXIMUM_STATES = 1_024;
+
+        /** A notice that exceeds the maximum frame size would not be sent at all. */
+        @Test
+        void fitIntoAFrameThoughCallersSendManyParts() {
+            for (int crash = 0; crash < 20; crash++) {
+                final long sent = now();
+                mTime.advance(PREFILL);
+                final List<Suspect> suspects = new ArrayList<>();
+                for (int i = 0; i < 64; i++) {
+                    final long first = 10_000L * crash + 100L * i;
+                    suspects.add(
+                            new Suspect(
+                                    LongStream.range(first, first + 63).boxed().toList(), sent));
+                }
+                assertThat(mQuarantine.onCrash(SERVICE, suspects, Set.of(), now(), now()))
+                        .isNotEmpty()
+                        .hasSizeLessThanOrEqualTo(MAXIMUM_STATES);
+            }
+            assertThat(mQuarantine.states(now())).hasSizeLessThanOrEqualTo(MAXIMUM_STATES);
+        }
+
+        @Test
+        void nameRefusedPartsFirst() {
+            crash(mQuarantine, List.of(CRASHING_PART));
+            crash(mQuarantine, List.of(CRASHING_PART));
+            for (long part = 1_000; part < 1_000 + 2 * MAXIMUM_STATES; part++) {
+                crash(mQuarantine, List.of(part));
+            }
+            assertThat(mQuarantine.states(now()).get(0).part()).isEqualTo(CRASHING_PART);
+        }
+    }
+
     @Nested
     class Rivals {
         private static final long COMPANION = 4;
