Identify a crashing content before its request releases its body

Cause: the digest of a content was computed 80 ms after the connection broke, when the crash of the replica was certain. A request that is not sent again has ended by then and released its body, so the verdict was on the empty body and never matched a request on arrival. All requests of a customer to the same path shared that digest. Class of fault: an identity derived from state after the end of its lifetime.

BrokenExchange now holds the digest and the parts as of the break.

ContentCrashTest.areRefusedWhenTheirContentCrashedTwoReplicas failed before (502 instead of 503, a third replica crashed) and passes. PromptPartCrashTest shares awaitCrashes, assertions unchanged.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
@@ -50,6 +50,15 @@
         mParts = new PartQuarantine(new SplittableRandom(seed).nextDouble());
     }
 
+    /** Describes a request whose connection broke, before the request ends. */
+    static BrokenExchange brokenExchange(final RelayCall call) {
+        return new BrokenExchange(
+                fingerprint(call),
+                sharedParts(call),
+                call.dispatch().sentNanos(),
+                call.dispatch().hasEvents());
+    }
+
     /** Sets the consumer that sends notices to other daemons. */
     void sendNoticesTo(final Consumer<PeerMessage> consumer) {
         mNoticeConsumer = consumer;
@@ -150,8 +159,7 @@
             final Collection<RelayCall> active,
             final long crashNanos,
             final long nowNanos) {
-        final List<Fingerprint> contents =
-                broken.stream().map(exchange -> fingerprint(exchange.call())).toList();
+        final List<Fingerprint> contents = broken.stream().map(BrokenExchange::content).toList();
         mQuarantine.onCrash(replica.entry().id(), contents, nowNanos).forEach(mNoticeConsumer);
         final List<PartQuarantine.Suspect> suspects =
                 broken.stream()
@@ -159,7 +167,7 @@
                         .map(
                                 exchange ->
                                         new PartQuarantine.Suspect(
-                                                sharedParts(exchange.call()), exchange.sentNanos()))
+                                                exchange.sharedParts(), exchange.sentNanos()))
                         .toList();
         final String service = replica.entry().upstream();
         report(
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -318,9 +318,7 @@
         if (replica.health().onFailure(nowNanos())) {
             mLog.avoided(replica, reason);
         }
-        final BrokenExchange exchange =
-                new BrokenExchange(call, call.dispatch().sentNanos(), call.dispatch().hasEvents());
-        mCrashDetector.onBroken(replica, exchange, nowNanos());
+        mCrashDetector.onBroken(replica, ContentQuarantine.brokenExchange(call), nowNanos());
     }
 
     void onReplicaError(final RelayCall call, final HttpResponseStatus status) {
--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ContentCrashTest.java
@@ -0,0 +1,68 @@
+package io.persimmonreel.daemon.relay;
+
+import static io.persimmonreel.daemon.relay.ReplicaScripts.ATTEMPT_HEADER;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.awaitCrashes;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.respond;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.runCount;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.scriptAll;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
+import java.io.IOException;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ContentCrashTest {
+    private static final int REPLICAS = 6;
+    private static final String CRASHING_BODY = "crashing";
+    private static final String SOUND_BODY = "sound";
+
+    /** Crashes for requests with the crashing body, and responds to others. */
+    private static void answer(final Exchange exchange) throws IOException {
+        if (exchange.body().contains(CRASHING_BODY)) {
+            exchange.socket().close();
+        } else {
+            respond(exchange, 200, "done");
+        }
+    }
+
+    private static RelayFixture start() throws Exception {
+        final RelayFixture relay = new RelayFixture(REPLICAS);
+        for (int i = 0; i < REPLICAS; i++) {
+            scriptAll(relay, REPLICAS, ContentCrashTest::answer);
+        }
+        return relay;
+    }
+
+    private static String charge(final RelayFixture relay, final String body) throws IOException {
+        return relay.request("POST", "/charge/1", ATTEMPT_HEADER, body);
+    }
+
+    @Nested
+    class RequestsThatMustNotRepeat {
+        @Test
+        void areRefusedWhenTheirContentCrashedTwoReplicas() throws Exception {
+            try (RelayFixture relay = start()) {
+                for (int crashes = 1; crashes <= 2; crashes++) {
+                    assertThat(charge(relay, CRASHING_BODY)).startsWith("HTTP/1.1 502");
+                    awaitCrashes(relay, crashes);
+                }
+                assertThat(charge(relay, CRASHING_BODY))
+                        .startsWith("HTTP/1.1 503")
+                        .containsIgnoringCase("Retry-After:");
+                assertThat(runCount(relay, REPLICAS)).isEqualTo(2);
+            }
+        }
+
+        @Test
+        void areServedIfOnlyTheirPathEqualsThatOfACrashingContent() throws Exception {
+            try (RelayFixture relay = start()) {
+                for (int crashes = 1; crashes <= 2; crashes++) {
+                    charge(relay, CRASHING_BODY);
+                    awaitCrashes(relay, crashes);
+                }
+                assertThat(charge(relay, SOUND_BODY)).startsWith("HTTP/1.1 200");
+            }
+        }
+    }
+}
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/PromptPartCrashTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/PromptPartCrashTest.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.daemon.relay;
 
+import static io.persimmonreel.daemon.relay.ReplicaScripts.awaitCrashes;
 import static io.persimmonreel.daemon.relay.ReplicaScripts.endStream;
 import static io.persimmonreel.daemon.relay.ReplicaScripts.event;
 import static io.persimmonreel.daemon.relay.ReplicaScripts.runCount;
@@ -10,7 +11,6 @@
 
 import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
 import java.io.IOException;
-import java.util.regex.Pattern;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -58,11 +58,6 @@
         return relay;
     }
 
-    private static void awaitCrashes(final RelayFixture relay, final int crashes) throws Exception {
-        final Pattern crash = Pattern.compile("\"event\":\"crashed\"");
-        RelayFixture.await(() -> crash.matcher(relay.log()).results().count() == crashes);
-    }
-
     @Nested
     class Requests {
         @Test
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaScripts.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaScripts.java
@@ -4,11 +4,14 @@
 import io.persimmonreel.daemon.upstream.ScriptedUpstream.Script;
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Pattern;
 
 /** Writes the responses of scripted replicas to requests with the attempt id "a1". */
 final class ReplicaScripts {
     static final String ATTEMPT_HEADER = "Persimmonreel-Attempt: a1\r\n";
 
+    private static final Pattern CRASH = Pattern.compile("\"event\":\"crashed\"");
+
     private ReplicaScripts() {}
 
     static void respond(final Exchange exchange, final int status, final String body)
@@ -58,6 +61,12 @@
         return runCount;
     }
 
+    /** Waits until the relay has logged a number of crashes of replicas. */
+    static void awaitCrashes(final RelayFixture relay, final int crashes)
+            throws InterruptedException {
+        RelayFixture.await(() -> CRASH.matcher(relay.log()).results().count() == crashes);
+    }
+
     /** Gives every replica the same script, since the relay may choose any replica. */
     static void scriptAll(final RelayFixture relay, final int replicas, final Script script) {
         for (int i = 0; i < replicas; i++) {
