Log the contents that a daemon suspects, sends and refuses

The log named only the contents that peers reported. It now tells which contents this daemon suspects itself, which requests have them, and which of these were sent or refused.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
@@ -81,15 +81,26 @@
 
     /** Returns why a request that has just arrived is refused, or empty if it may wait. */
     Optional<Refusal> refusalOnArrival(final RelayCall call, final long nowNanos) {
-        if (!mQuarantine.isEmpty()
-                && mQuarantine.decision(fingerprint(call), nowNanos).kind()
-                        == QuarantineDecision.Kind.QUARANTINED) {
-            return Optional.of(
-                    new Refusal(
-                            "requests of this content crashed replicas",
-                            CONTENT_RETRY_AFTER_MILLIS));
+        final Optional<Refusal> refusal = refusalOfContent(call, nowNanos);
+        return refusal.isPresent() ? refusal : refusalOfParts(call, nowNanos);
+    }
+
+    private Optional<Refusal> refusalOfContent(final RelayCall call, final long nowNanos) {
+        if (mQuarantine.isEmpty()) {
+            return Optional.empty();
+        }
+        final Fingerprint content = fingerprint(call);
+        if (mQuarantine.decision(content, nowNanos).kind() != QuarantineDecision.Kind.QUARANTINED) {
+            return Optional.empty();
         }
-        return refusalOfParts(call, nowNanos);
+        mLog.suspectRequest("suspect-refused", call, content.digest());
+        return Optional.of(
+                new Refusal(
+                        "requests of this content crashed replicas", CONTENT_RETRY_AFTER_MILLIS));
+    }
+
+    private boolean isSuspected(final Fingerprint content, final long nowNanos) {
+        return mQuarantine.decision(content, nowNanos).kind() != QuarantineDecision.Kind.NORMAL;
     }
 
     /**
@@ -121,7 +132,11 @@
 
     void onSent(final RelayCall call, final long nowNanos) {
         if (!mQuarantine.isEmpty()) {
-            mQuarantine.onDispatched(fingerprint(call), call.replica().entry().id());
+            final Fingerprint content = fingerprint(call);
+            mQuarantine.onDispatched(content, call.replica().entry().id());
+            if (isSuspected(content, nowNanos)) {
+                mLog.suspectRequest("suspect-sent", call, content.digest());
+            }
         }
         if (decideParts(call, nowNanos).kind() == PartDecision.Kind.TRIAL) {
             report("part-tried", mParts.onTrial(service(call), sharedParts(call), nowNanos));
@@ -160,7 +175,11 @@
             final long crashNanos,
             final long nowNanos) {
         final List<Fingerprint> contents = broken.stream().map(BrokenExchange::content).toList();
-        mQuarantine.onCrash(replica.entry().id(), contents, nowNanos).forEach(mNoticeConsumer);
+        for (final QuarantineNotice notice :
+                mQuarantine.onCrash(replica.entry().id(), contents, nowNanos)) {
+            mLog.content("content-suspected", notice);
+            mNoticeConsumer.accept(notice);
+        }
         final List<PartQuarantine.Suspect> suspects =
                 broken.stream()
                         .filter(exchange -> !exchange.begun())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.peer.PeerMessage.PartState;
+import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.quota.QuotaState;
 import io.persimmonreel.core.replica.Replica;
@@ -175,6 +176,26 @@
                 .write();
     }
 
+    /** Logs what is known against the content of requests. */
+    void content(final String event, final QuarantineNotice notice) {
+        mLog.event("quarantine", event)
+                .put("upstream", notice.service())
+                .put("digest", notice.digest())
+                .put("replicas", notice.replicas().size())
+                .put("stopped", notice.quarantined())
+                .put("age_ms", notice.ageMillis())
+                .write();
+    }
+
+    /** Logs a request whose content is under suspicion. */
+    void suspectRequest(final String event, final RelayCall call, final String digest) {
+        mLog.event("quarantine", event)
+                .put("id", call.task().id())
+                .put("digest", digest)
+                .put("replica", replicaId(call))
+                .write();
+    }
+
     /** Logs a part of prompts that came under suspicion, was refused, tried or cleared. */
     void promptPart(final String event, final PartState state) {
         mLog.event("quarantine", event)
