Count the outages under a content, not only its crashes alone

With two such contents on each crashed replica, or with one replica that crashes again and again under its id, no verdict was ever formed.

A content is now refused, too, after three outages at different times without a complete response in between, whatever else was running. Crashes within 300 ms are one outage, so that the common failure of several replicas blames nothing. Evidence holds the crashes one by one; each is reported in a notice of its own with its age, in the format of before.

againstTwoSuspectsAtEachCrashQuarantinesBothAfterThreeOutages, fromThreeCrashesOfOneReplicaQuarantines and aboutCrashesSeenByDifferentDaemonsAddUp failed before.

--- a/core/src/main/java/io/persimmonreel/core/quarantine/EvidenceTable.java
+++ b/core/src/main/java/io/persimmonreel/core/quarantine/EvidenceTable.java
@@ -102,6 +102,11 @@
         expired.forEach(this::remove);
     }
 
+    /** Returns a copy of all evidence. */
+    List<Evidence> all() {
+        return List.copyOf(mByDigest.values());
+    }
+
     int size() {
         return mByDigest.size();
     }
--- a/core/src/main/java/io/persimmonreel/core/quarantine/Quarantine.java
+++ b/core/src/main/java/io/persimmonreel/core/quarantine/Quarantine.java
@@ -16,8 +16,8 @@
  * Decides which request contents are suspected of crashing replicas and which are refused.
  *
  * <p>A content is suspected if it ran on a replica that crashed. It is refused if another replica
- * crashes on which it was the only suspect. Thread safe; while nothing is suspected, decisions take
- * no lock.
+ * crashes on which it was the only suspect, or after three outages at different times without a
+ * complete response in between. Thread safe; while nothing is suspected, decisions take no lock.
  */
 public final class Quarantine {
     private static final long EVIDENCE_LIFETIME_NANOS = TimeUnit.MINUTES.toNanos(30);
@@ -112,21 +112,17 @@
             final Set<Evidence> suspects = new LinkedHashSet<>();
             for (final Fingerprint request : requests) {
                 mTable.find(request)
-                        .filter(
-                                evidence ->
-                                        evidence.replicas().stream()
-                                                .anyMatch(r -> !r.equals(replica)))
+                        .filter(evidence -> evidence.hasCrashOfOther(replica))
                         .ifPresent(suspects::add);
             }
+            final Crash crash = new Crash(replica, nowNanos);
             final List<QuarantineNotice> notices = new ArrayList<>();
             for (final Fingerprint request : requests) {
-                final Evidence before =
-                        mTable.find(request)
-                                .orElse(new Evidence(request, Set.of(), false, nowNanos));
+                final Evidence before = mTable.find(request).orElse(Evidence.of(request, crash));
                 final boolean onlySuspect = suspects.size() == 1 && suspects.contains(before);
-                final Evidence after = before.plus(Set.of(replica), onlySuspect, nowNanos);
+                final Evidence after = before.plus(crash, onlySuspect);
                 mTable.put(after);
-                notices.add(after.toNotice(false, nowNanos));
+                notices.add(after.toNotice(crash, nowNanos));
             }
             updateEvidenceCount();
             return notices;
@@ -163,7 +159,7 @@
                     mTable.findExact(fingerprint).filter(e -> complete && !e.quarantined());
             evidence.ifPresent(mTable::remove);
             updateEvidenceCount();
-            return evidence.map(e -> e.toNotice(true, nowNanos)).stream().toList();
+            return evidence.map(e -> e.toClearance(nowNanos)).stream().toList();
         }
     }
 
@@ -172,27 +168,47 @@
      *
      * @param notice the peer's notice
      * @param nowNanos the current monotonic time in nanoseconds
+     * @return whether the notice reported anything new
      */
-    public void onNotice(final QuarantineNotice notice, final long nowNanos) {
+    public boolean onNotice(final QuarantineNotice notice, final long nowNanos) {
+        final Fingerprint fingerprint =
+                new Fingerprint(notice.service(), notice.digest(), notice.similarity());
         synchronized (mTable) {
-            final Evidence reported = Evidence.of(notice, nowNanos);
-            if (notice.cleared()) {
-                mTable.findExact(reported.fingerprint())
-                        .filter(evidence -> !evidence.quarantined())
-                        .ifPresent(mTable::remove);
-            } else {
-                mTable.put(
-                        mTable.find(reported.fingerprint())
-                                .map(
-                                        known ->
-                                                known.plus(
-                                                        reported.replicas(),
-                                                        reported.quarantined(),
-                                                        reported.lastCrashNanos()))
-                                .orElse(reported));
-            }
+            final boolean changed =
+                    notice.cleared()
+                            ? clear(fingerprint, notice.replicas())
+                            : addCrashes(fingerprint, notice, nowNanos);
             expire(nowNanos);
+            return changed;
+        }
+    }
+
+    private boolean clear(final Fingerprint fingerprint, final List<String> replicas) {
+        final Optional<Evidence> known =
+                mTable.findExact(fingerprint).filter(evidence -> !evidence.quarantined());
+        if (known.isEmpty()) {
+            return false;
+        }
+        mTable.remove(known.get());
+        return true;
+    }
+
+    private boolean addCrashes(
+            final Fingerprint fingerprint, final QuarantineNotice notice, final long nowNanos) {
+        final long age = TimeUnit.MILLISECONDS.toNanos(Math.max(0L, notice.ageMillis()));
+        boolean changed = false;
+        for (final String replica : notice.replicas()) {
+            final Crash crash = new Crash(replica, nowNanos - age);
+            final Optional<Evidence> before = mTable.find(fingerprint);
+            final Evidence after =
+                    before.orElse(Evidence.of(fingerprint, crash))
+                            .plus(crash, notice.quarantined());
+            if (before.isEmpty() || !before.get().equals(after)) {
+                mTable.put(after);
+                changed = true;
+            }
         }
+        return changed;
     }
 
     /**
--- a/core/src/test/java/io/persimmonreel/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quarantine/QuarantineTest.java
@@ -13,6 +13,7 @@
 
 class QuarantineTest {
     private static final long NOW = 5L;
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final Fingerprint CRASHING = fingerprint("poison", 1);
     private static final Fingerprint HARMLESS = fingerprint("harmless", 2);
 
@@ -72,6 +73,43 @@
             assertThat(kindOf(HARMLESS)).isEqualTo(Kind.ISOLATED);
         }
 
+        @Test
+        void againstTwoSuspectsAtEachCrashQuarantinesBothAfterThreeOutages() {
+            for (int i = 0; i < 3; i++) {
+                assertThat(kindOf(CRASHING)).isNotEqualTo(Kind.QUARANTINED);
+                mQuarantine.onCrash("r" + i, List.of(CRASHING, HARMLESS), NOW + i * SECOND);
+            }
+            assertThat(kindOf(CRASHING)).isEqualTo(Kind.QUARANTINED);
+            assertThat(kindOf(HARMLESS)).isEqualTo(Kind.QUARANTINED);
+        }
+
+        @Test
+        void fromThreeCrashesOfOneReplicaQuarantines() {
+            for (int i = 0; i < 3; i++) {
+                assertThat(kindOf(CRASHING)).isNotEqualTo(Kind.QUARANTINED);
+                mQuarantine.onCrash("r1", List.of(CRASHING), NOW + i * 4 * SECOND);
+            }
+            assertThat(kindOf(CRASHING)).isEqualTo(Kind.QUARANTINED);
+        }
+
+        /** Guards against blame for an outage of several replicas. */
+        @Test
+        void fromReplicasThatCrashTogetherQuarantinesNeitherOfTwoSuspects() {
+            for (int i = 0; i < 5; i++) {
+                mQuarantine.onCrash("r" + i, List.of(CRASHING, HARMLESS), NOW + i * SECOND / 50);
+            }
+            assertThat(kindOf(CRASHING)).isEqualTo(Kind.ISOLATED);
+        }
+
+        @Test
+        void fromOutagesBeforeACompleteResponseDoesNotCount() {
+            for (int i = 0; i < 6; i++) {
+                mQuarantine.onCrash("r1", List.of(CRASHING), NOW + i * 4 * SECOND);
+                mQuarantine.onCompleted(CRASHING, "r2", true, NOW + i * 4 * SECOND + 1);
+            }
+            assertThat(kindOf(CRASHING)).isEqualTo(Kind.NORMAL);
+        }
+
         /** Guards against evidence that is never removed. */
         @Test
         void expiresAfterThirtyMinutes() {
@@ -148,6 +186,32 @@
             assertThat(kindOf(CRASHING)).isEqualTo(Kind.QUARANTINED);
         }
 
+        @Test
+        void aboutCrashesSeenByDifferentDaemonsAddUp() {
+            final Quarantine other = new Quarantine(100);
+            final List<Fingerprint> both = List.of(CRASHING, HARMLESS);
+            mQuarantine.onCrash("r0", both, NOW).forEach(n -> other.onNotice(n, NOW));
+            other.onCrash("r1", both, NOW + SECOND)
+                    .forEach(n -> mQuarantine.onNotice(n, NOW + SECOND));
+            mQuarantine
+                    .onCrash("r2", both, NOW + 2 * SECOND)
+                    .forEach(n -> other.onNotice(n, NOW + 2 * SECOND));
+            assertThat(kindOf(CRASHING)).isEqualTo(Kind.QUARANTINED);
+            assertThat(other.decision(CRASHING, NOW).kind()).isEqualTo(Kind.QUARANTINED);
+        }
+
+        /** Guards against one crash that several daemons report counting several times. */
+        @Test
+        void aboutOneCrashCountOnce() {
+            for (int i = 0; i < 4; i++) {
+                final Quarantine other = new Quarantine(100);
+                final long time = NOW + i * SECOND / 5;
+                other.onCrash("r1", List.of(CRASHING), time)
+                        .forEach(n -> mQuarantine.onNotice(n, time));
+            }
+            assertThat(kindOf(CRASHING)).isEqualTo(Kind.ISOLATED);
+        }
+
         @Test
         void clearSuspectsOnOtherDaemons() {
             final Quarantine other = new Quarantine(100);
