Keep the evidence of crashes that a clearance does not know

A notice that clears a content removed all evidence on it, also on replicas that crashed after the sender's response. It now removes the crashes of the replicas that it names.

thatClearASuspectLateKeepTheEvidenceOfLaterCrashes failed before.

--- a/core/src/main/java/io/persimmonreel/core/quarantine/Quarantine.java
+++ b/core/src/main/java/io/persimmonreel/core/quarantine/Quarantine.java
@@ -164,7 +164,8 @@
     }
 
     /**
-     * Applies evidence that a peer reports.
+     * Applies evidence that a peer reports. A clearance is ignored as far as replicas crashed of
+     * which the peer did not know.
      *
      * @param notice the peer's notice
      * @param nowNanos the current monotonic time in nanoseconds
@@ -189,8 +190,14 @@
         if (known.isEmpty()) {
             return false;
         }
-        mTable.remove(known.get());
-        return true;
+        final List<Crash> left = new ArrayList<>(known.get().crashes());
+        final boolean changed = left.removeIf(crash -> replicas.contains(crash.replica()));
+        if (left.isEmpty()) {
+            mTable.remove(known.get());
+        } else {
+            mTable.put(new Evidence(known.get().fingerprint(), left, false));
+        }
+        return changed;
     }
 
     private boolean addCrashes(
--- a/core/src/test/java/io/persimmonreel/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quarantine/QuarantineTest.java
@@ -212,6 +212,19 @@
             assertThat(kindOf(CRASHING)).isEqualTo(Kind.ISOLATED);
         }
 
+        @Test
+        void thatClearASuspectLateKeepTheEvidenceOfLaterCrashes() {
+            final Quarantine other = new Quarantine(100);
+            mQuarantine
+                    .onCrash("r1", List.of(CRASHING, HARMLESS), NOW)
+                    .forEach(n -> other.onNotice(n, NOW));
+            final List<QuarantineNotice> late = other.onCompleted(CRASHING, "r2", true, NOW);
+            mQuarantine.onCrash("r3", List.of(CRASHING, HARMLESS), NOW + SECOND);
+            late.forEach(n -> mQuarantine.onNotice(n, NOW + 2 * SECOND));
+            assertThat(mQuarantine.decision(CRASHING, NOW).excludedReplicas())
+                    .containsExactly("r3");
+        }
+
         @Test
         void clearSuspectsOnOtherDaemons() {
             final Quarantine other = new Quarantine(100);
