Tell daemons that connect which contents crash replicas, and repeat refusals

A daemon that was restarted, added or cut off got the evidence on parts of prompts when it connected, but none on whole contents, and a notice was sent once.

All evidence on contents is now sent to a daemon that connects; notices of refused contents are repeated every 2 s. Suspicions are not repeated, since a repetition could bring back what another daemon has cleared. Hubs forward only what is new to them, so that a repetition goes one hop.

Failed before: isGivenToDaemonsThatConnectAfterTheCrashes, isRepeatedForDaemonsThatLostTheNoticeOfARefusal. ScriptedPeer connects to a relay as another daemon.

--- a/core/src/main/java/io/persimmonreel/core/quarantine/Quarantine.java
+++ b/core/src/main/java/io/persimmonreel/core/quarantine/Quarantine.java
@@ -3,6 +3,7 @@
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Decides which request contents are suspected of crashing replicas and which are refused.
@@ -218,6 +220,48 @@
         return changed;
     }
 
+    /**
+     * Returns what a daemon that has just connected must know.
+     *
+     * @param maximum the maximum number of notices, at least 0
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return a notice of each crash, those of refused contents first
+     */
+    public List<QuarantineNotice> notices(final int maximum, final long nowNanos) {
+        return notices(evidence -> true, maximum, nowNanos);
+    }
+
+    /**
+     * Returns the notices of refused contents, which may be repeated at any time, as they can't be
+     * cleared.
+     *
+     * @param maximum the maximum number of notices, at least 0
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return a notice of each crash under a refused content
+     */
+    public List<QuarantineNotice> refusalNotices(final int maximum, final long nowNanos) {
+        return notices(Evidence::quarantined, maximum, nowNanos);
+    }
+
+    private List<QuarantineNotice> notices(
+            final Predicate<Evidence> filter, final int maximum, final long nowNanos) {
+        if (isEmpty()) {
+            return List.of();
+        }
+        synchronized (mTable) {
+            expire(nowNanos);
+            return mTable.all().stream()
+                    .filter(filter)
+                    .sorted(Comparator.comparing(evidence -> !evidence.quarantined()))
+                    .flatMap(
+                            evidence ->
+                                    evidence.crashes().stream()
+                                            .map(crash -> evidence.toNotice(crash, nowNanos)))
+                    .limit(maximum)
+                    .toList();
+        }
+    }
+
     /**
      * Drops evidence older than 30 minutes. To be called at least once a minute.
      *
--- a/core/src/test/java/io/persimmonreel/core/quarantine/QuarantineTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quarantine/QuarantineTest.java
@@ -225,6 +225,27 @@
                     .containsExactly("r3");
         }
 
+        @Test
+        void giveADaemonThatStartedLaterAllVerdictsAndEvidence() {
+            mQuarantine.onCrash("r1", List.of(CRASHING, HARMLESS), NOW);
+            mQuarantine.onCrash("r2", List.of(CRASHING), NOW + SECOND);
+            final Quarantine started = new Quarantine(100);
+            mQuarantine
+                    .notices(100, NOW + 5 * SECOND)
+                    .forEach(n -> started.onNotice(n, NOW + 5 * SECOND));
+            assertThat(started.decision(CRASHING, NOW).kind()).isEqualTo(Kind.QUARANTINED);
+            assertThat(started.decision(HARMLESS, NOW).excludedReplicas()).containsExactly("r1");
+        }
+
+        @Test
+        void thatReportNothingNewAreNotForwarded() {
+            final Quarantine other = new Quarantine(100);
+            final List<QuarantineNotice> notices =
+                    mQuarantine.onCrash("r1", List.of(CRASHING), NOW);
+            assertThat(notices).allMatch(n -> other.onNotice(n, NOW));
+            assertThat(notices).noneMatch(n -> other.onNotice(n, NOW));
+        }
+
         @Test
         void clearSuspectsOnOtherDaemons() {
             final Quarantine other = new Quarantine(100);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
@@ -14,6 +14,7 @@
 import io.persimmonreel.core.quarantine.Quarantine;
 import io.persimmonreel.core.quarantine.QuarantineDecision;
 import io.persimmonreel.core.replica.Replica;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -32,6 +33,12 @@
     /** The Retry-After time for callers whose content crashes replicas. */
     private static final long CONTENT_RETRY_AFTER_MILLIS = 10_000;
 
+    /** The maximum number of notices on contents for a daemon that has just connected. */
+    private static final int MAXIMUM_NOTICES = 1_024;
+
+    /** The maximum number of notices on contents that are repeated at a time. */
+    private static final int MAXIMUM_REPEATED_NOTICES = 64;
+
     private final RelayLog mLog;
     private final Quarantine mQuarantine = new Quarantine();
     private final PartQuarantine mParts;
@@ -64,8 +71,9 @@
         mNoticeConsumer = consumer;
     }
 
-    void onNotice(final QuarantineNotice notice, final long nowNanos) {
-        mQuarantine.onNotice(notice, nowNanos);
+    /** Applies a notice of a peer; returns whether it reported anything new. */
+    boolean onNotice(final QuarantineNotice notice, final long nowNanos) {
+        return mQuarantine.onNotice(notice, nowNanos);
     }
 
     void onPartNotice(final PartNotice notice, final long nowNanos) {
@@ -73,10 +81,20 @@
         notice.parts().forEach(state -> mLog.promptPart("part-told", state));
     }
 
-    /** Returns what a daemon that has just connected must know, or empty if there is nothing. */
-    Optional<PartNotice> partNotice(final long nowNanos) {
+    /** Returns what a daemon that has just connected must know. */
+    List<PeerMessage> knownEvidence(final long nowNanos) {
+        final List<PeerMessage> known =
+                new ArrayList<>(mQuarantine.notices(MAXIMUM_NOTICES, nowNanos));
         final List<PartState> states = mParts.states(nowNanos);
-        return states.isEmpty() ? Optional.empty() : Optional.of(new PartNotice(states));
+        if (!states.isEmpty()) {
+            known.add(new PartNotice(states));
+        }
+        return known;
+    }
+
+    /** Returns the notices of refused contents, to be repeated in case that some were lost. */
+    List<QuarantineNotice> refusalNotices(final long nowNanos) {
+        return mQuarantine.refusalNotices(MAXIMUM_REPEATED_NOTICES, nowNanos);
     }
 
     /** Returns why a request that has just arrived is refused, or empty if it may wait. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -67,6 +67,12 @@
      */
     private static final int LARGE_FLEET_MEMBER_LIST_INTERVALS = 8;
 
+    /**
+     * The number of digest intervals after which the notices of refused contents are repeated,
+     * since the transport may lose some.
+     */
+    private static final int REFUSAL_NOTICE_INTERVALS = 10;
+
     /** The number of daemons that is assumed while no peer is known. */
     private static final int ASSUMED_FLEET_SIZE = 6;
 
@@ -155,6 +161,11 @@
     void sendDigests(final long nowNanos) {
         mDigestRounds++;
         applyPeerWork(nowNanos);
+        if (mDigestRounds % REFUSAL_NOTICE_INTERVALS == 0) {
+            mService.quarantine()
+                    .refusalNotices(nowNanos)
+                    .forEach(notice -> mTransport.sendAll(mPeers.keySet(), notice));
+        }
         if (!mSelector.topology().isMesh() && mDigestRounds % LARGE_FLEET_DIGEST_INTERVALS != 0) {
             return;
         }
@@ -200,8 +211,8 @@
                     peer.incarnation(), new PeerMessage.QuotaLevels(mService.quota().levels()));
         }
         mService.quarantine()
-                .partNotice(mTime.monotonicNanos())
-                .ifPresent(notice -> mTransport.send(peer.incarnation(), notice));
+                .knownEvidence(mTime.monotonicNanos())
+                .forEach(notice -> mTransport.send(peer.incarnation(), notice));
     }
 
     @Override
@@ -239,7 +250,9 @@
     }
 
     private void onNotice(final Incarnation from, final QuarantineNotice notice, final long now) {
-        mService.quarantine().onNotice(notice, now);
+        if (!mService.quarantine().onNotice(notice, now)) {
+            return;
+        }
         mLog.event("quarantine", "told")
                 .put("digest", notice.digest())
                 .put("replicas", notice.replicas().size())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -38,7 +38,7 @@
  */
 public final class RelayDaemon implements AutoCloseable {
     /** The fleet name, the same for all installations; their different secrets keep them apart. */
-    private static final String FLEET_NAME = "persimmonreel-relay";
+    static final String FLEET_NAME = "persimmonreel-relay";
 
     /**
      * The timer interval while requests are in progress. It limits the delay with which a deadline,
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ContentCrashTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ContentCrashTest.java
@@ -7,6 +7,7 @@
 import static io.persimmonreel.daemon.relay.ReplicaScripts.scriptAll;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
 import java.io.IOException;
 import org.junit.jupiter.api.Nested;
@@ -20,7 +21,7 @@
     /** Crashes for requests with the crashing body, and responds to others. */
     private static void answer(final Exchange exchange) throws IOException {
         if (exchange.body().contains(CRASHING_BODY)) {
-            exchange.socket().close();
+            crash(exchange);
         } else {
             respond(exchange, 200, "done");
         }
@@ -34,6 +35,10 @@
         return relay;
     }
 
+    private static void crash(final Exchange exchange) throws IOException {
+        exchange.socket().close();
+    }
+
     private static String charge(final RelayFixture relay, final String body) throws IOException {
         return relay.request("POST", "/charge/1", ATTEMPT_HEADER, body);
     }
@@ -65,4 +70,41 @@
             }
         }
     }
+
+    @Nested
+    class Evidence {
+        private static void crashTwice(final RelayFixture relay) throws Exception {
+            for (int crashes = 1; crashes <= 2; crashes++) {
+                charge(relay, CRASHING_BODY);
+                awaitCrashes(relay, crashes);
+            }
+        }
+
+        @Test
+        void isGivenToDaemonsThatConnectAfterTheCrashes() throws Exception {
+            try (RelayFixture relay = start()) {
+                crashTwice(relay);
+                try (ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                    RelayFixture.await(
+                            () ->
+                                    peer.received(QuarantineNotice.class).stream()
+                                            .anyMatch(QuarantineNotice::quarantined));
+                }
+            }
+        }
+
+        @Test
+        void isRepeatedForDaemonsThatLostTheNoticeOfARefusal() throws Exception {
+            try (RelayFixture relay = start();
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                crashTwice(relay);
+                RelayFixture.await(
+                        () ->
+                                peer.received(QuarantineNotice.class).stream()
+                                                .filter(QuarantineNotice::quarantined)
+                                                .count()
+                                        > 1);
+            }
+        }
+    }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -42,11 +42,13 @@
  */
 final class RelayFixture implements AutoCloseable {
     static final String KEY = "key-of-acme";
+    static final String SECRET = "secret";
     private static final int WAIT_MILLIS = 5_000;
 
     private final List<ScriptedUpstream> mReplicas = new ArrayList<>();
     private final List<DirectorySource.Document> mDocuments = new CopyOnWriteArrayList<>();
     private final ByteArrayOutputStream mLog = new ByteArrayOutputStream();
+    private final RelaySettings mSettings;
     private final RelayDaemon mDaemon;
     private volatile RelayConfiguration mConfiguration = configuration(1, 2, 0);
 
@@ -62,10 +64,11 @@
             mDocuments.add(document("replica/r" + i, "127.0.0.1:" + replica.port()));
         }
         final SystemTimeSource time = new SystemTimeSource();
+        mSettings = settings(grace);
         mDaemon =
                 new RelayDaemon(
-                        settings(grace),
-                        new FleetSecret("secret".getBytes(StandardCharsets.UTF_8)),
+                        mSettings,
+                        new FleetSecret(SECRET.getBytes(StandardCharsets.UTF_8)),
                         new NativeDialect(),
                         new MemoryFormat(),
                         (loop, address, responseTimeout) -> new MemorySource(),
@@ -91,6 +94,10 @@
         return mDaemon;
     }
 
+    InetSocketAddress peerAddress() {
+        return mSettings.peerAddress();
+    }
+
     String log() {
         return mLog.toString(StandardCharsets.UTF_8);
     }
