Look up the verdict on a content before each send

A verdict was looked up on arrival only: requests that waited in the queue, and those that are sent again after a broken connection, were sent in spite of a verdict that had come meanwhile.

The scheduler now asks for content and parts alike before each send. The hash of the body is computed once for each request.

ofAnotherDaemonStopsTheResendOfARequest failed before (the request ran on a further replica).

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerRequest.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerRequest.java
@@ -1,16 +1,23 @@
 package io.persimmonreel.daemon.relay;
 
+import com.dynatrace.hash4j.hashing.HashValue128;
+import com.dynatrace.hash4j.hashing.Hasher128;
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpRequest;
 
 /** Holds a caller's request and the connection for its response. Not thread safe. */
 final class CallerRequest {
+    private static final Hasher128 HASHER = Hashing.murmur3_128();
+
     private final HttpRequest mRequest;
     private final CallerHeaders mCallerHeaders;
     private final CallerConnection mConnection;
     private final long mArrivedNanos;
     private ByteBuf mBody = Unpooled.EMPTY_BUFFER;
+    private HashValue128 mBodyHash;
 
     CallerRequest(
             final HttpRequest request,
@@ -45,6 +52,17 @@
         return mBody;
     }
 
+    /**
+     * Returns the hash of the body. Once it was computed, it stays available after {@link
+     * #releaseBody}.
+     */
+    HashValue128 bodyHash() {
+        if (mBodyHash == null) {
+            mBodyHash = HASHER.hashBytesTo128Bits(ByteBufUtil.getBytes(mBody));
+        }
+        return mBodyHash;
+    }
+
     void append(final ByteBuf bytes) {
         if (mBody == Unpooled.EMPTY_BUFFER) {
             mBody = Unpooled.buffer(bytes.readableBytes());
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
@@ -3,7 +3,6 @@
 import com.dynatrace.hash4j.hashing.HashValue128;
 import com.dynatrace.hash4j.hashing.Hasher128;
 import com.dynatrace.hash4j.hashing.Hashing;
-import io.netty.buffer.ByteBufUtil;
 import io.persimmonreel.core.peer.PeerMessage;
 import io.persimmonreel.core.peer.PeerMessage.PartNotice;
 import io.persimmonreel.core.peer.PeerMessage.PartState;
@@ -97,8 +96,11 @@
         return mQuarantine.refusalNotices(MAXIMUM_REPEATED_NOTICES, nowNanos);
     }
 
-    /** Returns why a request that has just arrived is refused, or empty if it may wait. */
-    Optional<Refusal> refusalOnArrival(final RelayCall call, final long nowNanos) {
+    /**
+     * Returns why a request must not be sent now because of its content or a part of its prompt, or
+     * empty if it may be.
+     */
+    Optional<Refusal> refusal(final RelayCall call, final long nowNanos) {
         final Optional<Refusal> refusal = refusalOfContent(call, nowNanos);
         return refusal.isPresent() ? refusal : refusalOfParts(call, nowNanos);
     }
@@ -121,11 +123,7 @@
         return mQuarantine.decision(content, nowNanos).kind() != QuarantineDecision.Kind.NORMAL;
     }
 
-    /**
-     * Returns why a request must not be sent now because of a part of its prompt, or empty if it
-     * may be.
-     */
-    Optional<Refusal> refusalOfParts(final RelayCall call, final long nowNanos) {
+    private Optional<Refusal> refusalOfParts(final RelayCall call, final long nowNanos) {
         final PartDecision decision = decideParts(call, nowNanos);
         return decision.kind() == PartDecision.Kind.REFUSE
                 ? Optional.of(
@@ -264,7 +262,8 @@
                         .putString(task.request().request().uri())
                         .putString(task.customerName())
                         .putLong(task.work().sessionHash())
-                        .putByteArray(ByteBufUtil.getBytes(task.request().body()))
+                        .putLong(task.request().bodyHash().getMostSignificantBits())
+                        .putLong(task.request().bodyHash().getLeastSignificantBits())
                         .get();
         return new Fingerprint(task.upstream(), hash.toString(), hash.getLeastSignificantBits());
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -132,7 +132,7 @@
     private boolean place(final RelayCall call) {
         final long now = mService.nowNanos();
         final RelayTask task = call.task();
-        final Optional<ContentQuarantine.Refusal> refusal = mQuarantine.refusalOfParts(call, now);
+        final Optional<ContentQuarantine.Refusal> refusal = mQuarantine.refusal(call, now);
         if (refusal.isPresent()) {
             onQuarantined(call, refusal.get());
             return true;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -395,8 +395,7 @@
 
     private void accept(final RelayCall call) {
         final RelayTask task = call.task();
-        final Optional<ContentQuarantine.Refusal> refusal =
-                mQuarantine.refusalOnArrival(call, nowNanos());
+        final Optional<ContentQuarantine.Refusal> refusal = mQuarantine.refusal(call, nowNanos());
         if (refusal.isPresent()) {
             mQuota.refund(task.customerName(), task.units(), nowNanos());
             refuse(
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ContentCrashTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ContentCrashTest.java
@@ -9,7 +9,13 @@
 
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
+import io.persimmonreel.daemon.upstream.ScriptedUpstream.Script;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -39,6 +45,14 @@
         exchange.socket().close();
     }
 
+    private static String lookup(final RelayFixture relay) {
+        try {
+            return relay.request("GET", "/lookup/1", ATTEMPT_HEADER, "");
+        } catch (final IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static String charge(final RelayFixture relay, final String body) throws IOException {
         return relay.request("POST", "/charge/1", ATTEMPT_HEADER, body);
     }
@@ -106,5 +120,43 @@
                                         > 1);
             }
         }
+
+        @Test
+        void ofAnotherDaemonStopsTheResendOfARequest() throws Exception {
+            try (RelayFixture relay = new RelayFixture(REPLICAS);
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                final CountDownLatch told = new CountDownLatch(1);
+                scriptAll(relay, REPLICAS, ContentCrashTest::crash, e -> respond(e, 200, "done"));
+                assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+                RelayFixture.await(() -> !peer.received(QuarantineNotice.class).isEmpty());
+                final QuarantineNotice suspicion = peer.received(QuarantineNotice.class).get(0);
+                final Script crashWhenTold =
+                        exchange -> {
+                            peer.send(stopped(suspicion));
+                            assertThat(told.await(5, TimeUnit.SECONDS)).isTrue();
+                            crash(exchange);
+                        };
+                for (int i = 0; i < 2; i++) {
+                    scriptAll(relay, REPLICAS, crashWhenTold, e -> respond(e, 200, "done"));
+                }
+                final CompletableFuture<String> response =
+                        CompletableFuture.supplyAsync(() -> lookup(relay));
+                RelayFixture.await(() -> relay.log().contains("\"event\":\"told\""));
+                told.countDown();
+                assertThat(response.get(5, TimeUnit.SECONDS)).startsWith("HTTP/1.1 502");
+                assertThat(runCount(relay, REPLICAS)).isEqualTo(3);
+            }
+        }
+
+        private static QuarantineNotice stopped(final QuarantineNotice suspicion) {
+            return new QuarantineNotice(
+                    suspicion.service(),
+                    suspicion.digest(),
+                    suspicion.similarity(),
+                    List.of("another"),
+                    true,
+                    false,
+                    0);
+        }
     }
 }
