Leave the session out of the digest of a content

A crashing request comes again with the same path, caller and body. On upstreams with engines the digest also held the hash of the prompt's parts, a header, so that a header that differs from try to try gave each try a content of its own.

areRefusedAlsoIfTheirHeadersDifferFromTryToTry failed before (a third replica crashed).

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
@@ -252,8 +252,8 @@
     }
 
     /**
-     * Computes the fingerprint of a request from its path, customer, session hash and body. Only
-     * identical content has to match, so a hash of the bytes is sufficient.
+     * Computes the fingerprint of a request from its path, customer and body. Only identical
+     * content has to match, so a hash of the bytes is sufficient.
      */
     private static Fingerprint fingerprint(final RelayCall call) {
         final RelayTask task = call.task();
@@ -261,7 +261,6 @@
                 HASHER.hashStream()
                         .putString(task.request().request().uri())
                         .putString(task.customerName())
-                        .putLong(task.work().sessionHash())
                         .putLong(task.request().bodyHash().getMostSignificantBits())
                         .putLong(task.request().bodyHash().getLeastSignificantBits())
                         .get();
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ContentCrashTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ContentCrashTest.java
@@ -8,11 +8,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
+import io.persimmonreel.core.route.EngineProfile;
+import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
 import io.persimmonreel.daemon.upstream.ScriptedUpstream.Script;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -73,6 +77,32 @@
             }
         }
 
+        @Test
+        void areRefusedAlsoIfTheirHeadersDifferFromTryToTry() throws Exception {
+            final RelayConfiguration engines =
+                    RelayFixture.configuration(1, 2, 0, Optional.of(new EngineProfile(1)));
+            try (RelayFixture relay = new RelayFixture(REPLICAS, Duration.ofSeconds(8), engines)) {
+                for (int crashes = 1; crashes <= 3; crashes++) {
+                    scriptAll(relay, REPLICAS, ContentCrashTest::crash);
+                }
+                for (int crashes = 1; crashes <= 2; crashes++) {
+                    chargeWithPrompt(relay, "a" + crashes);
+                    awaitCrashes(relay, crashes);
+                }
+                assertThat(chargeWithPrompt(relay, "a3")).startsWith("HTTP/1.1 503");
+                assertThat(runCount(relay, REPLICAS)).isEqualTo(2);
+            }
+        }
+
+        private static String chargeWithPrompt(final RelayFixture relay, final String lastPart)
+                throws IOException {
+            return relay.request(
+                    "POST",
+                    "/charge/1",
+                    ATTEMPT_HEADER + "Persimmonreel-Prompt-Parts: " + lastPart + ":20\r\n",
+                    CRASHING_BODY);
+        }
+
         @Test
         void areServedIfOnlyTheirPathEqualsThatOfACrashingContent() throws Exception {
             try (RelayFixture relay = start()) {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -3,6 +3,7 @@
 import io.persimmonreel.core.quota.QuotaTolerance;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.route.CallerLimits;
+import io.persimmonreel.core.route.EngineProfile;
 import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.core.route.RelayCustomer;
 import io.persimmonreel.core.route.RelayUpstream;
@@ -50,13 +51,19 @@
     private final ByteArrayOutputStream mLog = new ByteArrayOutputStream();
     private final RelaySettings mSettings;
     private final RelayDaemon mDaemon;
-    private volatile RelayConfiguration mConfiguration = configuration(1, 2, 0);
+    private final RelayConfiguration mConfiguration;
 
     RelayFixture(final int replicas) throws Exception {
         this(replicas, Duration.ofSeconds(8));
     }
 
     RelayFixture(final int replicas, final Duration grace) throws Exception {
+        this(replicas, grace, configuration(1, 2, 0));
+    }
+
+    RelayFixture(final int replicas, final Duration grace, final RelayConfiguration configuration)
+            throws Exception {
+        mConfiguration = configuration;
         mDocuments.add(document("config", ""));
         for (int i = 0; i < replicas; i++) {
             final ScriptedUpstream replica = new ScriptedUpstream(true);
@@ -176,6 +183,14 @@
 
     static RelayConfiguration configuration(
             final long version, final int attempts, final double ratePerSecond) {
+        return configuration(version, attempts, ratePerSecond, Optional.empty());
+    }
+
+    static RelayConfiguration configuration(
+            final long version,
+            final int attempts,
+            final double ratePerSecond,
+            final Optional<EngineProfile> engine) {
         final List<Route> routes = new ArrayList<>();
         routes.add(route("/lookup/", ResendRule.IDEMPOTENT, attempts));
         routes.add(route("/charge/", ResendRule.AT_MOST_ONCE, attempts));
@@ -184,7 +199,7 @@
         return new RelayConfiguration(
                 version,
                 new RouteTable(routes),
-                List.of(new RelayUpstream("app", Optional.empty())),
+                List.of(new RelayUpstream("app", engine)),
                 new CallerLimits(4_096, 65_536, 1_000, 2_000),
                 List.of(
                         new RelayCustomer(
