Wait for the last break of a crash, not only for the first

A daemon that is short of processor time may read the breaks of one crash more than 80 ms apart. At the end of the window an older request was still open, so the crash was not reported and the requests that had broken by then, the crashing one among them, got no evidence.

The window now starts again with each break, for a second at most.

reportsACrashWhoseBreaksAreReadSlowly failed before.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaCrashDetector.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaCrashDetector.java
@@ -18,11 +18,14 @@
  */
 final class ReplicaCrashDetector<T> {
     /**
-     * The time to wait after the first broken connection; the connections of a process that ends
+     * The time to wait after the last broken connection; the connections of a process that ends
      * break within a few milliseconds of each other.
      */
     private static final long DETECTION_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
 
+    /** The maximum time to wait, for a daemon that reads the breaks of one crash slowly. */
+    private static final long MAXIMUM_DETECTION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final Predicate<Replica> mHasOpenConnection;
 
     /** In the order of the first breaks, in which crashes are reported. */
@@ -32,10 +35,21 @@
     private static final class BrokenRequests<T> {
         private final long mFirstBreakNanos;
         private final List<T> mRequests = new ArrayList<>();
+        private long mLastBreakNanos;
 
         BrokenRequests(final long firstBreakNanos) {
             mFirstBreakNanos = firstBreakNanos;
         }
+
+        void add(final T request, final long nowNanos) {
+            mRequests.add(request);
+            mLastBreakNanos = nowNanos;
+        }
+
+        boolean isComplete(final long nowNanos) {
+            return nowNanos - mLastBreakNanos >= DETECTION_WINDOW_NANOS
+                    || nowNanos - mFirstBreakNanos >= MAXIMUM_DETECTION_NANOS;
+        }
     }
 
     /** Looks up requests that still run at a replica. */
@@ -81,8 +95,7 @@
     void onBroken(final Replica replica, final T request, final long nowNanos) {
         mBrokenByReplica
                 .computeIfAbsent(replica, key -> new BrokenRequests<>(nowNanos))
-                .mRequests
-                .add(request);
+                .add(request, nowNanos);
     }
 
     /**
@@ -95,7 +108,7 @@
         while (entries.hasNext()) {
             final Map.Entry<Replica, BrokenRequests<T>> entry = entries.next();
             final BrokenRequests<T> broken = entry.getValue();
-            if (nowNanos - broken.mFirstBreakNanos < DETECTION_WINDOW_NANOS) {
+            if (!broken.isComplete(nowNanos)) {
                 continue;
             }
             entries.remove();
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaCrashDetectorTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaCrashDetectorTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class ReplicaCrashDetectorTest {
+    private static final long BREAK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
     private static final long AFTER_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
     private final Replica mReplica =
             new Replica(new ReplicaEntry("r", "app", "127.0.0.1", 1, "z", 4, false, 1));
@@ -20,9 +21,13 @@
             new ReplicaCrashDetector<>(replica -> mHasOpenConnection);
 
     private void fireTimer() {
+        fireTimer(AFTER_WINDOW_NANOS);
+    }
+
+    private void fireTimer(final long nowNanos) {
         mDetector.onTimer(
                 (replica, before) -> mHasOlderRequest,
-                AFTER_WINDOW_NANOS,
+                nowNanos,
                 (replica, requests, crashNanos) -> mCrashSizes.add(requests.size()));
     }
 
@@ -63,4 +68,27 @@
         fireTimer();
         assertThat(mCrashSizes).hasSize(1);
     }
+
+    /** A slow daemon reads the breaks of one crash one after the other. */
+    @Test
+    void reportsACrashWhoseBreaksAreReadSlowly() {
+        mHasOlderRequest = true;
+        for (int i = 0; i < 5; i++) {
+            mDetector.onBroken(mReplica, "request " + i, i * BREAK_INTERVAL_NANOS);
+            mHasOlderRequest = i < 4;
+            fireTimer((i + 1) * BREAK_INTERVAL_NANOS - 1);
+        }
+        fireTimer(AFTER_WINDOW_NANOS);
+        assertThat(mCrashSizes).containsExactly(5);
+    }
+
+    /** Requests that break now and then must not delay the report without end. */
+    @Test
+    void waitsNoLongerThanASecond() {
+        for (int i = 0; i < 30; i++) {
+            mDetector.onBroken(mReplica, "request " + i, i * BREAK_INTERVAL_NANOS);
+            fireTimer((i + 1) * BREAK_INTERVAL_NANOS - 1);
+        }
+        assertThat(mCrashSizes).isNotEmpty();
+    }
 }
