Keep requests within the rate limits that replicas advertise

Cause: nothing read the header field. Class of fault: a request of an upstream that the product doesn't know has no effect.

The limit holds for all daemons together. Each takes an equal share of it (RateShares): all daemons with the same view of members compute the same division, without messages, as for the slots of replicas. A member that is silent keeps its share until it is forgotten, so that the shares of a part of a fleet that is cut off never add up to more than the limit. A daemon that was idle may send one request at once; these add up, so that only as many daemons have a share as the replica can take at once. A limit ends with a later response without it or a new start of the replica, and is lifted gradually. A limit of zero still allows a rare trial, as it could not be heard to end otherwise.

A replica without a permit is left out of placement. If all replicas lack one, a request waits if it can be served in time; its caller is refused at once otherwise, with the time of the next permit as Retry-After.

ReplicaRateLimitTest, getsNoMoreRequestsThanItStates and makesCallersReturnWhenItCanServeThem, failed with the check of permits taken out.

--- a/core/src/main/java/io/persimmonreel/core/replica/Replica.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/Replica.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.core.replica;
 
+import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -17,6 +18,7 @@
     private final AtomicInteger mInFlight = new AtomicInteger();
     private final AtomicInteger mPendingPrefillTokens = new AtomicInteger();
     private final HealthRecord mHealth = new HealthRecord();
+    private final AdvertisedRateLimit mRateLimit = new AdvertisedRateLimit();
     private final long mIdHash;
     private volatile ReplicaEntry mEntry;
     private volatile int mPeerInFlight;
@@ -75,6 +77,15 @@
         return mHealth;
     }
 
+    /**
+     * Returns the rate limit that the replica advertises, to be used by the event loop only.
+     *
+     * @return the limit, which ends with this start of the replica
+     */
+    public AdvertisedRateLimit rateLimit() {
+        return mRateLimit;
+    }
+
     /**
      * Records that a request is sent.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.persimmonreel.core.ratelimit.RateLimitStatement;
 
 /**
  * Reads and writes Persimmonreel's own header fields, which begin with {@code Persimmonreel-}.
@@ -21,6 +22,9 @@
     /** The parts of the prompt, see {@link PromptPartsHeader}. */
     private static final String PROMPT_PARTS = "Persimmonreel-Prompt-Parts";
 
+    /** The requests per second that a replica takes from all daemons together. */
+    private static final String RATE_LIMIT = "Persimmonreel-Rate-Limit";
+
     private static final String RESUME_AFTER = "Last-Event-ID";
     private static final DispatchHeaderNames DISPATCH_FIELDS =
             new DispatchHeaderNames(DEADLINE, REPLICA, CUSTOMER, RESUME_AFTER);
@@ -57,7 +61,12 @@
     @Override
     public ReplicaHeaders readResponse(final HttpResponse response) {
         final HttpHeaders headers = response.headers();
-        return new ReplicaHeaders(headers.get(ATTEMPT), headers.contains(NOT_RUN), true, UNKNOWN);
+        return new ReplicaHeaders(
+                headers.get(ATTEMPT),
+                headers.contains(NOT_RUN),
+                true,
+                UNKNOWN,
+                RateLimitStatement.parse(headers.getAll(RATE_LIMIT)));
     }
 
     /**
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -10,6 +10,7 @@
 import io.persimmonreel.core.peer.PeerMessage.RelayDigest;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaWork;
 import io.persimmonreel.core.placement.SlotShares;
+import io.persimmonreel.core.ratelimit.RateShares;
 import io.persimmonreel.core.retry.RetryBudget;
 import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.core.time.TimeSource;
@@ -432,8 +433,8 @@
     }
 
     /**
-     * Applies the size of the fleet to the quota, the retry budget and the shares of slots. For a
-     * leaf, the digest of its hub already counts the leaf itself.
+     * Applies the size of the fleet to the quota, the retry budget and the shares. For a leaf, the
+     * digest of its hub already counts the leaf itself.
      */
     private void applyFleetSize(final long now) {
         final int reported = mPeerDigests.daemonCount(workPeers(now), now);
@@ -452,7 +453,8 @@
                                 mSelector.name(),
                                 mLastHeardNanosByMember.keySet(),
                                 reportedSize,
-                                mService.replicas().byUpstream()));
+                                mService.replicas().byUpstream()),
+                RateShares.of(mSelector.name(), mLastHeardNanosByMember.keySet(), assumedSize));
     }
 
     private List<String> addresses() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -224,9 +224,7 @@
 
     @Override
     public void onHeaders(final HttpResponse response, final ReplicaHeaders replicaHeaders) {
-        if (replicaHeaders.load() >= 0) {
-            replica().onStatedLoad(replicaHeaders.load(), mService.nowNanos());
-        }
+        mService.onReplicaHeaders(mDispatch, replicaHeaders);
         mResponse = response;
         final boolean misdirected =
                 response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -5,12 +5,15 @@
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.quota.QuotaState;
+import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.daemon.log.EventLog;
 import java.util.Optional;
 
 /** Writes decisions on relayed requests to the log and updates the metrics. */
 final class RelayLog {
+    private static final int SECONDS_PER_MINUTE = 60;
+
     private final EventLog mLog;
     private final RelayMetrics mMetrics;
 
@@ -76,20 +79,26 @@
                 call.task().upstream(),
                 call.task().rank(),
                 nowNanos - call.task().request().arrivedNanos());
-        mLog.routine("request", "sent")
-                .put("id", call.task().id())
-                .put("route", call.task().route().name())
-                .put("replica", choice.replica().entry().id())
-                .put("customer", call.task().customerName())
-                .put("units", call.task().units())
-                .put("load", Math.round(choice.load()))
-                .put("withheld", Math.round(choice.withheld()))
-                .put("candidates", candidates)
-                .put("first_ms", Math.round(choice.firstMillis()))
-                .put("prefill", choice.prefillTokens())
-                .put("queued_ms", Math.round(call.task().waitedMillis(nowNanos)))
-                .put("left_ms", Math.round(call.task().millisLeft(nowNanos)))
-                .write();
+        final EventLog.Line line =
+                mLog.routine("request", "sent")
+                        .put("id", call.task().id())
+                        .put("route", call.task().route().name())
+                        .put("replica", choice.replica().entry().id())
+                        .put("customer", call.task().customerName())
+                        .put("units", call.task().units())
+                        .put("load", Math.round(choice.load()))
+                        .put("withheld", Math.round(choice.withheld()))
+                        .put("candidates", candidates)
+                        .put("first_ms", Math.round(choice.firstMillis()))
+                        .put("prefill", choice.prefillTokens())
+                        .put("queued_ms", Math.round(call.task().waitedMillis(nowNanos)))
+                        .put("left_ms", Math.round(call.task().millisLeft(nowNanos)));
+        final AdvertisedRateLimit limit = choice.replica().rateLimit();
+        if (limit.isStated()) {
+            line.put("limit_per_minute", perMinute(choice.replica()))
+                    .put("limit_age_ms", limit.ageMillis(nowNanos));
+        }
+        line.write();
     }
 
     void resent(
@@ -208,6 +217,27 @@
                 .write();
     }
 
+    /** Logs that a replica advertises another rate limit than before. */
+    void rateLimitStated(final Replica replica, final double share) {
+        mMetrics.onRateLimit(replica.entry().upstream(), "stated");
+        mLog.event("replica", "limit-stated")
+                .put("replica", replica.entry().id())
+                .put("per_minute", perMinute(replica))
+                .put("share_percent", Math.round(share * 100))
+                .put("own_in_flight", replica.ownInFlight())
+                .write();
+    }
+
+    /** Logs that a replica no longer advertises a rate limit. */
+    void rateLimitEnded(final Replica replica, final long ageMillis) {
+        mMetrics.onRateLimit(replica.entry().upstream(), "ended");
+        mLog.event("replica", "limit-ended")
+                .put("replica", replica.entry().id())
+                .put("per_minute", perMinute(replica))
+                .put("age_ms", ageMillis)
+                .write();
+    }
+
     void avoided(final Replica replica, final String reason) {
         mLog.event("replica", "avoided")
                 .put("replica", replica.entry().id())
@@ -217,6 +247,10 @@
                 .write();
     }
 
+    private static long perMinute(final Replica replica) {
+        return Math.round(replica.rateLimit().perSecond() * SECONDS_PER_MINUTE);
+    }
+
     private static String replicaId(final RelayCall call) {
         return call.replica() == null ? null : call.replica().entry().id();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -32,6 +32,12 @@
                     "Requests sent to another replica, by the reason that allowed it",
                     "upstream",
                     "reason");
+    private final Counter mRateLimits =
+            counter(
+                    "persimmonreel_relay_rate_limits_total",
+                    "Rate limits of replicas that were stated anew or ended",
+                    "upstream",
+                    "event");
     private final Histogram mQueueTime =
             histogram(
                     "persimmonreel_relay_queue_seconds",
@@ -52,6 +58,10 @@
         mResends.labelValues(upstream, reason).inc();
     }
 
+    void onRateLimit(final String upstream, final String event) {
+        mRateLimits.labelValues(upstream, event).inc();
+    }
+
     void onSent(final String upstream, final int rank, final long nanos) {
         mQueueTime.labelValues(upstream, String.valueOf(rank)).observe(nanos / NANOS_PER_SECOND);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -8,6 +8,7 @@
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.placement.PromptCacheEstimate;
 import io.persimmonreel.core.placement.SlotShares;
+import io.persimmonreel.core.ratelimit.RateLimitedWait;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaRegistry;
 import java.util.List;
@@ -43,12 +44,17 @@
     private final RelayLog mLog;
     private final ReplicaRegistry mReplicas;
     private final ContentQuarantine mQuarantine;
+    private final ReplicaRateLimits mRateLimits;
     private final PromptCacheEstimate mPromptCache = new PromptCacheEstimate();
     private final Placement mPlacement;
     private final Admission mAdmission;
     private final ShutdownAdmission mShutdownAdmission = new ShutdownAdmission();
     private final SpareCapacity mSpareCapacity = new SpareCapacity();
     private final RequestQueue mQueue = new RequestQueue();
+
+    /** The requests that wait for a rate limit, counted in each pass over an upstream's queue. */
+    private int mRateLimited;
+
     private long mProcessEndNanos = Long.MAX_VALUE;
 
     RelayScheduler(final RelayService service, final RelayLog log, final long seed) {
@@ -56,6 +62,7 @@
         mLog = log;
         mReplicas = service.replicas();
         mQuarantine = service.quarantine();
+        mRateLimits = service.rateLimits();
         mPlacement = new Placement(mPromptCache, seed);
         mAdmission = new Admission(seed + 1);
     }
@@ -78,7 +85,9 @@
     /** Returns whether an upstream has room for requests beyond the quotas of their customers. */
     boolean hasRoom(final String upstream) {
         return mQueue.isEmpty(upstream)
-                && mSpareCapacity.hasRoom(mReplicas.ofUpstream(upstream), mService.nowNanos());
+                && mSpareCapacity.hasRoom(
+                        mRateLimits.withPermit(mReplicas.ofUpstream(upstream), mService.nowNanos()),
+                        mService.nowNanos());
     }
 
     /** Queues a request, and sends it at once if a replica has room. */
@@ -107,6 +116,7 @@
         }
         final List<RelayCall> calls = mQueue.inOrder(upstream, mService.nowNanos());
         int unplaced = 0;
+        mRateLimited = 0;
         for (int i = 0; i < calls.size() && unplaced < maximumUnplaced; i++) {
             final RelayCall call = calls.get(i);
             if (call.phase() == RelayCall.Phase.WAITING && !place(call)) {
@@ -138,9 +148,10 @@
             return true;
         }
         final List<Replica> replicas = mReplicas.ofUpstream(task.upstream());
-        final Optional<Choice> chosen = choose(call, replicas, now);
+        final Optional<Choice> chosen = choose(call, mRateLimits.withPermit(replicas, now), now);
         if (chosen.isEmpty()) {
-            return onNoReplica(call, now);
+            final RateLimitedWait wait = mRateLimits.waitFor(call, replicas, now);
+            return wait.isEmpty() ? onNoReplica(call, now) : onRateLimited(call, wait, now);
         }
         final Choice choice = chosen.get();
         final Admission.Decision decision =
@@ -163,6 +174,7 @@
             case SEND:
                 mQueue.remove(call);
                 mLog.sent(call, choice, replicas.size(), now);
+                mRateLimits.onSent(choice.replica(), now);
                 call.dispatch(choice);
                 mQuarantine.onSent(call, now);
                 return true;
@@ -210,6 +222,33 @@
         }
     }
 
+    /**
+     * Handles a request whose replicas all wait for a permit; returns false if it continues to
+     * wait.
+     */
+    private boolean onRateLimited(
+            final RelayCall call, final RateLimitedWait wait, final long now) {
+        final double millisLeft = call.task().millisLeft(now);
+        final boolean wasSent = call.mayHaveRun() || call.hasResponseStarted();
+        if (wasSent
+                ? wait.waitMillis(mRateLimited) < millisLeft
+                : wait.canServeInTime(
+                        mRateLimited, call.task().objectiveMillisLeft(now), millisLeft)) {
+            mRateLimited++;
+            return false;
+        }
+        final String reason = "the replicas limit the rate of requests";
+        if (wasSent) {
+            mQueue.remove(call);
+            mService.fail(call, HttpResponseStatus.BAD_GATEWAY, reason);
+            return true;
+        }
+        final long retryAfterMillis = wait.retryAfterMillis(mRateLimited, millisLeft);
+        mLog.refusedWhileQueued(call, reason, null, retryAfterMillis);
+        refuse(call, reason, retryAfterMillis);
+        return true;
+    }
+
     private boolean onNoReplica(final RelayCall call, final long now) {
         if (call.mayHaveRun() || call.hasResponseStarted()) {
             mQueue.remove(call);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -9,6 +9,7 @@
 import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.quota.QuotaState;
+import io.persimmonreel.core.ratelimit.RateShares;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.replica.ReplicaRegistry;
@@ -64,6 +65,7 @@
     private final ContentQuarantine mQuarantine;
     private final ConfigurationMonitor mConfigurationMonitor = new ConfigurationMonitor();
     private final OutputLengthEstimator mOutputLengths = new OutputLengthEstimator();
+    private final ReplicaRateLimits mRateLimits;
     private final RelayScheduler mScheduler;
     private final Set<RelayCall> mActive = new LinkedHashSet<>();
     private final PreConfigurationQueue mPreConfigurationQueue = new PreConfigurationQueue();
@@ -91,6 +93,7 @@
         mBudget = budget;
         mQuota = quota;
         mResolver = new RequestResolver(quota, mOutputLengths, this::hasRoom, seed);
+        mRateLimits = new ReplicaRateLimits(log);
         mScheduler = new RelayScheduler(this, log, seed + 1);
     }
 
@@ -114,6 +117,10 @@
         return mQuarantine;
     }
 
+    ReplicaRateLimits rateLimits() {
+        return mRateLimits;
+    }
+
     ConfigurationMonitor configurationMonitor() {
         return mConfigurationMonitor;
     }
@@ -158,9 +165,10 @@
         mPreConfigurationQueue.takeAll().forEach(this::onRequest);
     }
 
-    /** Sets this daemon's share of the replicas' slots. */
-    void onShares(final SlotShares shares) {
-        mScheduler.onShares(shares);
+    /** Sets this daemon's shares of the replicas' slots and of their rate limits. */
+    void onShares(final SlotShares slots, final RateShares rates) {
+        mScheduler.onShares(slots);
+        mRateLimits.onShares(rates);
     }
 
     /**
@@ -306,6 +314,14 @@
         mScheduler.submit(call);
     }
 
+    /** Applies what a replica says of itself in a response. */
+    void onReplicaHeaders(final Dispatch dispatch, final ReplicaHeaders headers) {
+        if (headers.load() >= 0) {
+            dispatch.replica().onStatedLoad(headers.load(), nowNanos());
+        }
+        mRateLimits.onResponse(dispatch, headers.rateLimit(), nowNanos());
+    }
+
     void onReplicaUnreachable(final RelayCall call, final String reason) {
         final Replica replica = call.replica();
         if (replica.health().onUnreachable(nowNanos())) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaHeaders.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaHeaders.java
@@ -1,5 +1,7 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.ratelimit.RateLimitStatement;
+
 /**
  * Holds the decoded header fields of a replica's response.
  *
@@ -8,5 +10,11 @@
  * @param genuine whether the response carries the proof that a replica created it, or the dialect
  *     has no such proof
  * @param load the number of running and waiting requests at the replica, negative if not declared
+ * @param rateLimit the rate limit that the replica advertises
  */
-public record ReplicaHeaders(String attemptId, boolean notRun, boolean genuine, int load) {}
+public record ReplicaHeaders(
+        String attemptId,
+        boolean notRun,
+        boolean genuine,
+        int load,
+        RateLimitStatement rateLimit) {}
--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaRateLimitTest.java
@@ -0,0 +1,127 @@
+package io.persimmonreel.daemon.relay;
+
+import static io.persimmonreel.daemon.relay.ReplicaScripts.ATTEMPT_HEADER;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.respond;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.persimmonreel.daemon.upstream.ScriptedUpstream;
+import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ReplicaRateLimitTest {
+    private static final int REQUESTS = 40;
+    private static final double LIMIT_PER_SECOND = 0.5;
+
+    /** The header lines with which a replica without a limit responds. */
+    private static final String NO_LIMIT = "";
+
+    private final AtomicReference<String> mFirstReplicaHeaders =
+            new AtomicReference<>("Persimmonreel-Rate-Limit: " + LIMIT_PER_SECOND + "\r\n");
+
+    private RelayFixture start() throws Exception {
+        final RelayFixture relay = new RelayFixture(1);
+        addScripts(relay.replica(0), mFirstReplicaHeaders::get);
+        return relay;
+    }
+
+    private static void addScripts(final ScriptedUpstream replica, final Supplier<String> headers) {
+        for (int i = 0; i < 2 * REQUESTS; i++) {
+            replica.addScript(exchange -> respondOk(exchange, headers.get()));
+        }
+    }
+
+    private static void respondOk(final Exchange exchange, final String headers)
+            throws IOException {
+        respond(exchange, 200, headers, "done");
+    }
+
+    private static String lookup(final RelayFixture relay) throws IOException {
+        return relay.request("GET", "/lookup/1", ATTEMPT_HEADER, "");
+    }
+
+    private static int requestsAtFirst(final RelayFixture relay) {
+        return relay.replica(0).requestLines().size();
+    }
+
+    private static void awaitLimit(final RelayFixture relay) throws Exception {
+        assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+        RelayFixture.await(() -> relay.log().contains("\"event\":\"limit-stated\""));
+    }
+
+    @Nested
+    class AReplicaThatStatesALimit {
+        @Test
+        void getsNoMoreRequestsThanItStates() throws Exception {
+            try (RelayFixture relay = start();
+                    ScriptedUpstream second = new ScriptedUpstream(true)) {
+                addScripts(second, () -> NO_LIMIT);
+                awaitLimit(relay);
+                relay.addReplica("second", second.port());
+                RelayFixture.await(() -> relay.log().contains("\"replica\":\"second\""));
+                final int before = requestsAtFirst(relay);
+                final long beginNanos = System.nanoTime();
+                for (int i = 0; i < REQUESTS; i++) {
+                    assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+                }
+                final double seconds =
+                        (double) (System.nanoTime() - beginNanos) / TimeUnit.SECONDS.toNanos(1);
+                assertThat((double) requestsAtFirst(relay) - before)
+                        .isLessThanOrEqualTo(1 + seconds * LIMIT_PER_SECOND);
+            }
+        }
+
+        @Test
+        void isUsedAgainWhenItStatesNone() throws Exception {
+            try (RelayFixture relay = start()) {
+                awaitLimit(relay);
+                mFirstReplicaHeaders.set(NO_LIMIT);
+                RelayFixture.await(
+                        () -> {
+                            try {
+                                lookup(relay);
+                            } catch (final IOException e) {
+                                return false;
+                            }
+                            return relay.log().contains("\"event\":\"limit-ended\"");
+                        });
+            }
+        }
+
+        @Test
+        void makesCallersReturnWhenItCanServeThem() throws Exception {
+            try (RelayFixture relay = start()) {
+                awaitLimit(relay);
+                final int before = requestsAtFirst(relay);
+                assertThat(lookup(relay))
+                        .startsWith("HTTP/1.1 503")
+                        .containsIgnoringCase("Retry-After: 1");
+                assertThat(requestsAtFirst(relay)).isEqualTo(before);
+            }
+        }
+    }
+
+    @Nested
+    class ALimit {
+        @Test
+        void ofAResponseToAnotherRequestIsIgnored() throws Exception {
+            try (RelayFixture relay = new RelayFixture(1)) {
+                relay.replica(0)
+                        .addScript(
+                                exchange -> {
+                                    exchange.write(
+                                            "HTTP/1.1 200 OK\r\nPersimmonreel-Attempt: other\r\n"
+                                                    + "Persimmonreel-Rate-Limit: 0\r\n"
+                                                    + "Content-Length: 0\r\n\r\n");
+                                    respondOk(exchange, NO_LIMIT);
+                                });
+                assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+                assertThat(relay.log()).doesNotContain("limit-stated");
+            }
+        }
+    }
+}
