Never send a request again on a connection on which it was refused

A connection remembers the attempts that were refused on it and is closed instead of used for one of them again.

isNoProofForTheSameRequestOnTheSameConnection failed before. Copies that meet other requests were handled already.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -146,6 +146,7 @@
         mService.connections()
                 .acquire(
                         replica(),
+                        mTask.id(),
                         recentOnly,
                         (connection, failure) -> {
                             if (mPhase != Phase.CONNECTING || mDispatchCount != dispatchNumber) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.persimmonreel.core.replica.Replica;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
  * Handles one connection to a replica, on which one exchange runs at a time.
@@ -54,6 +56,10 @@
                 public void onFailed(final String reason) {}
             };
 
+    /** The maximum number of attempts whose refusals are remembered. */
+    private static final int MAXIMUM_REFUSED_ATTEMPTS = 16;
+
+    private final Deque<String> mRefusedAttempts = new ArrayDeque<>();
     private final Replica mReplica;
     private final UpstreamConnectionPool mPool;
     private final RelayDialect mDialect;
@@ -96,6 +102,14 @@
         return mListener == null && isOpen();
     }
 
+    /**
+     * Returns whether an attempt was refused on this connection, so that a late copy of the refusal
+     * could be taken for the response to the same attempt.
+     */
+    boolean hasRefused(final String attemptId) {
+        return mRefusedAttempts.contains(attemptId);
+    }
+
     long idleSinceNanos() {
         return mIdleSinceNanos;
     }
@@ -216,6 +230,9 @@
             fail("the answer does not show whose it is");
             return;
         }
+        if (isRefusal(response, replicaHeaders)) {
+            rememberRefusal();
+        }
         mResponseStarted = true;
         mReusable = isReusable(response);
         mIdleLimitNanos = KeepAliveHeader.idleLimitNanos(response.headers());
@@ -236,14 +253,25 @@
      */
     private boolean isAttributable(
             final HttpResponse response, final ReplicaHeaders replicaHeaders) {
-        final boolean refusal =
-                replicaHeaders.notRun() || response.status().code() == MISDIRECTED_STATUS;
+        final boolean refusal = isRefusal(response, replicaHeaders);
         final boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
         return refusal && !mUsedBefore
                 || refusal && replicaHeaders.attemptId() != null
                 || replicaHeaders.attemptId() != null && (replicaHeaders.genuine() || !success);
     }
 
+    private static boolean isRefusal(
+            final HttpResponse response, final ReplicaHeaders replicaHeaders) {
+        return replicaHeaders.notRun() || response.status().code() == MISDIRECTED_STATUS;
+    }
+
+    private void rememberRefusal() {
+        if (mRefusedAttempts.size() >= MAXIMUM_REFUSED_ATTEMPTS) {
+            mRefusedAttempts.removeFirst();
+        }
+        mRefusedAttempts.addLast(mAttemptId);
+    }
+
     private static boolean isReusable(final HttpResponse response) {
         final HttpHeaders headers = response.headers();
         return HttpUtil.isKeepAlive(response)
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -74,18 +74,23 @@
      * Provides an idle connection or a new one.
      *
      * @param replica the replica
+     * @param attemptId the attempt id of the request
      * @param recentOnly whether an idle connection may be reused only if it was used very recently
      * @param consumer receives the connection, or null and the reason of the failure
      */
     void acquire(
             final Replica replica,
+            final String attemptId,
             final boolean recentOnly,
             final BiConsumer<UpstreamConnection, String> consumer) {
         final Deque<UpstreamConnection> idle = mIdle.get(replica);
         while (idle != null && !idle.isEmpty()) {
             final UpstreamConnection connection = idle.pollLast();
             final long age = nowNanos() - connection.idleSinceNanos();
-            final boolean usable = connection.isIdle() && age < connection.idleLimitNanos();
+            final boolean usable =
+                    connection.isIdle()
+                            && age < connection.idleLimitNanos()
+                            && !connection.hasRefused(attemptId);
             if (usable && (!recentOnly || age < RECENT_USE_NANOS)) {
                 consumer.accept(connection, null);
                 return;
