Tell other daemons which rate limits replicas advertise

A daemon without a share of a limit sends nothing to its replica, so it could not hear that the limit had ended and left the replica out until its next start; this concerns fleets with more daemons than may have a share, 7 at 2.3 requests a second. A daemon that did not know a limit yet sent without one until its own first response.

A change is now sent to all peers at once. Reports carry their age and the newer one wins, so that a late one brings nothing back. A daemon without a share for 30 s without a report lifts the limit.

endALimitForDaemonsWithoutAShare and thatAPeerReportsHoldsBeforeTheFirstRequest have no counterpart in the code of before.

--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -328,6 +328,29 @@
             long trialMillis,
             List<Long> rivals) {}
 
+    /**
+     * Reports the rate limits that replicas advertise.
+     *
+     * @param limits the limits as the sender knows them
+     */
+    record RateLimitNotice(List<RateLimitState> limits) implements PeerMessage {}
+
+    /**
+     * Describes the rate limit of one start of a replica.
+     *
+     * @param replica the replica's id
+     * @param startedMillis when it started, milliseconds since the Unix epoch, 0 if unknown
+     * @param limited whether it states a limit; false if a response stated none
+     * @param perSecond the last limit in requests per second from all daemons together
+     * @param ageMillis the time since that response, in milliseconds
+     */
+    record RateLimitState(
+            String replica,
+            long startedMillis,
+            boolean limited,
+            double perSecond,
+            long ageMillis) {}
+
     /**
      * Asks a peer for the documents of the directory.
      *
--- a/core/src/main/java/io/persimmonreel/core/ratelimit/AdvertisedRateLimit.java
+++ b/core/src/main/java/io/persimmonreel/core/ratelimit/AdvertisedRateLimit.java
@@ -5,8 +5,9 @@
 /**
  * Tracks the rate limit that a replica advertises and the permits of this daemon's share of it.
  *
- * <p>A limit holds until a response without one. If nothing may be sent, nothing can be heard, so a
- * limit of zero still allows a rare trial. A limit that ended is lifted gradually. Not thread safe.
+ * <p>A limit holds until a response without one, of this daemon or of a peer; the newer report
+ * wins. If nothing may be sent, nothing can be heard, so a limit of zero still allows a rare trial.
+ * A limit that ended is lifted gradually. Not thread safe.
  */
 public final class AdvertisedRateLimit {
     /** The lowest rate of all daemons together, by which they learn that a limit has ended. */
@@ -18,12 +19,17 @@
     /** The time after which the rate of a recovered replica is no longer limited. */
     private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** The time without a report after which a limit ends for a daemon without a share. */
+    private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private State mState = State.UNLIMITED;
     private double mPerSecond;
     private long mStatedNanos;
+    private long mHeardNanos;
+    private boolean mHasEnded;
     private long mEndedNanos;
     private double mPermits;
     private long mRefilledNanos;
@@ -46,7 +52,7 @@
             final RateLimitStatement statement, final long sentNanos, final long nowNanos) {
         switch (statement.kind()) {
             case STATED:
-                return onStated(statement.perSecond(), nowNanos);
+                return onStated(statement.perSecond(), nowNanos, nowNanos);
             case NONE:
                 return onNotStated(sentNanos, nowNanos);
             default:
@@ -63,6 +69,34 @@
         return mState == State.LIMITED;
     }
 
+    /**
+     * Applies what a peer heard in a response; ignored if this daemon knows something newer.
+     *
+     * @param limited whether that response stated a limit
+     * @param perSecond the limit
+     * @param heardNanos when the peer received it, as monotonic time of this daemon in nanoseconds
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return whether the limit has changed
+     */
+    public boolean onPeerReport(
+            final boolean limited,
+            final double perSecond,
+            final long heardNanos,
+            final long nowNanos) {
+        if (!(perSecond >= 0)) {
+            return false;
+        }
+        if (!limited) {
+            return mState == State.LIMITED && heardNanos - mStatedNanos >= 0 && onEnded(heardNanos);
+        }
+        if (mState == State.LIMITED && heardNanos - mStatedNanos <= 0) {
+            mHeardNanos = nowNanos;
+            return false;
+        }
+        return (!mHasEnded || heardNanos - mEndedNanos > 0)
+                && onStated(perSecond, heardNanos, nowNanos);
+    }
+
     /**
      * Returns whether requests need a permit.
      *
@@ -82,13 +116,15 @@
     }
 
     /**
-     * Returns the time since the limit was last stated.
+     * Returns the age of what is known.
      *
      * @param nowNanos the current monotonic time in nanoseconds
-     * @return the age in milliseconds, meaningless if no limit was ever stated
+     * @return the time since the limit was last stated or has ended, in milliseconds; meaningless
+     *     if no limit was ever stated
      */
     public long ageMillis(final long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(nowNanos - mStatedNanos);
+        return TimeUnit.NANOSECONDS.toMillis(
+                nowNanos - (mState == State.LIMITED ? mStatedNanos : mEndedNanos));
     }
 
     /**
@@ -119,7 +155,7 @@
         }
     }
 
-    private boolean onStated(final double perSecond, final long nowNanos) {
+    private boolean onStated(final double perSecond, final long statedNanos, final long nowNanos) {
         final boolean changed = mState != State.LIMITED || mPerSecond != perSecond;
         if (mState == State.UNLIMITED) {
             mPermits = 0;
@@ -127,21 +163,27 @@
         }
         mState = State.LIMITED;
         mPerSecond = perSecond;
-        mStatedNanos = nowNanos;
+        mStatedNanos = statedNanos;
+        mHeardNanos = nowNanos;
         return changed;
     }
 
     /** Ends the limit, unless the request was sent before the limit was last stated. */
     private boolean onNotStated(final long sentNanos, final long nowNanos) {
-        if (mState != State.LIMITED || sentNanos - mStatedNanos < 0) {
-            return false;
-        }
+        return mState == State.LIMITED && sentNanos - mStatedNanos >= 0 && onEnded(nowNanos);
+    }
+
+    private boolean onEnded(final long endedNanos) {
         mState = State.RECOVERING;
-        mEndedNanos = nowNanos;
+        mHasEnded = true;
+        mEndedNanos = endedNanos;
         return true;
     }
 
     private void refill(final double share, final long nowNanos) {
+        if (mState == State.LIMITED && share <= 0 && nowNanos - mHeardNanos >= SILENCE_NANOS) {
+            onEnded(nowNanos);
+        }
         if (mState == State.RECOVERING && nowNanos - mEndedNanos >= RECOVERY_NANOS) {
             mState = State.UNLIMITED;
         }
--- a/core/src/test/java/io/persimmonreel/core/ratelimit/AdvertisedRateLimitTest.java
+++ b/core/src/test/java/io/persimmonreel/core/ratelimit/AdvertisedRateLimitTest.java
@@ -156,6 +156,52 @@
         }
     }
 
+    @Nested
+    class ReportsOfPeers {
+        private final AdvertisedRateLimit mLimit = new AdvertisedRateLimit();
+
+        @Test
+        void limitADaemonBeforeItsOwnResponse() {
+            assertThat(mLimit.onPeerReport(true, 2, SECOND, SECOND)).isTrue();
+            assertThat(mLimit.waitMillis(1, SECOND)).isPositive();
+        }
+
+        @Test
+        void endALimitForDaemonsWithoutAShare() {
+            mLimit.onResponse(stated(0.1), 0, 0);
+            assertThat(mLimit.waitMillis(0, SECOND)).isInfinite();
+            assertThat(mLimit.onPeerReport(false, 0.1, 2 * SECOND, 2 * SECOND)).isTrue();
+            assertThat(mLimit.waitMillis(0.01, 8 * SECOND)).isZero();
+        }
+
+        @Test
+        void thatAreOlderThanWhatIsKnownChangeNothing() {
+            mLimit.onResponse(stated(2), 0, 10 * SECOND);
+            assertThat(mLimit.onPeerReport(false, 2, 9 * SECOND, 11 * SECOND)).isFalse();
+            mLimit.onResponse(RateLimitStatement.NONE, 12 * SECOND, 13 * SECOND);
+            assertThat(mLimit.onPeerReport(true, 2, 12 * SECOND, 14 * SECOND)).isFalse();
+            assertThat(mLimit.isStated()).isFalse();
+        }
+
+        @Test
+        void thatAreNotHeardAnyMoreFreeOnlyADaemonWithoutAShare() {
+            mLimit.onPeerReport(true, 0.1, 0, 0);
+            mLimit.waitMillis(0.5, 40 * SECOND);
+            assertThat(mLimit.isStated()).isTrue();
+            mLimit.onPeerReport(true, 0.1, 0, 40 * SECOND);
+            mLimit.waitMillis(0, 69 * SECOND);
+            assertThat(mLimit.isStated()).isTrue();
+            mLimit.waitMillis(0, 70 * SECOND);
+            assertThat(mLimit.isStated()).isFalse();
+        }
+
+        @Test
+        void withoutAValidLimitAreIgnored() {
+            assertThat(mLimit.onPeerReport(true, Double.NaN, SECOND, SECOND)).isFalse();
+            assertThat(mLimit.onPeerReport(true, -1, SECOND, SECOND)).isFalse();
+        }
+    }
+
     @Nested
     class Statement {
         @ParameterizedTest
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -52,7 +52,8 @@
                     PeerMessage.DirectoryRequest.class,
                     PeerMessage.DirectoryCopy.class,
                     PeerMessage.QuotaLevels.class,
-                    PeerMessage.PartNotice.class);
+                    PeerMessage.PartNotice.class,
+                    PeerMessage.RateLimitNotice.class);
 
     private static final List<Class<? extends Record>> NESTED_TYPES =
             List.of(
@@ -60,6 +61,7 @@
                     PeerMessage.MemberNews.class,
                     PeerMessage.ReplicaWork.class,
                     PeerMessage.PartState.class,
+                    PeerMessage.RateLimitState.class,
                     RequestIdentity.class,
                     DecisionRecord.class);
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -7,6 +7,7 @@
 import io.persimmonreel.core.peer.PeerMessage.DirectoryRequest;
 import io.persimmonreel.core.peer.PeerMessage.PartNotice;
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
+import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
 import io.persimmonreel.core.peer.PeerMessage.RelayDigest;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaWork;
 import io.persimmonreel.core.placement.SlotShares;
@@ -69,10 +70,10 @@
     private static final int LARGE_FLEET_MEMBER_LIST_INTERVALS = 8;
 
     /**
-     * The number of digest intervals after which the notices of refused contents are repeated,
-     * since the transport may lose some.
+     * The number of digest intervals after which notices are repeated, since the transport may lose
+     * some.
      */
-    private static final int REFUSAL_NOTICE_INTERVALS = 10;
+    private static final int REPEAT_INTERVALS = 10;
 
     /** The number of daemons that is assumed while no peer is known. */
     private static final int ASSUMED_FLEET_SIZE = 6;
@@ -162,9 +163,9 @@
     void sendDigests(final long nowNanos) {
         mDigestRounds++;
         applyPeerWork(nowNanos);
-        if (mDigestRounds % REFUSAL_NOTICE_INTERVALS == 0) {
-            mService.quarantine()
-                    .refusalNotices(nowNanos)
+        if (mDigestRounds % REPEAT_INTERVALS == 0) {
+            mService.notices()
+                    .repeated(nowNanos)
                     .forEach(notice -> mTransport.sendAll(mPeers.keySet(), notice));
         }
         if (!mSelector.topology().isMesh() && mDigestRounds % LARGE_FLEET_DIGEST_INTERVALS != 0) {
@@ -211,8 +212,8 @@
             mTransport.send(
                     peer.incarnation(), new PeerMessage.QuotaLevels(mService.quota().levels()));
         }
-        mService.quarantine()
-                .knownEvidence(mTime.monotonicNanos())
+        mService.notices()
+                .forNewPeer(mTime.monotonicNanos())
                 .forEach(notice -> mTransport.send(peer.incarnation(), notice));
     }
 
@@ -245,7 +246,10 @@
         } else if (message instanceof QuarantineNotice notice) {
             onNotice(from.incarnation(), notice, now);
         } else if (message instanceof PartNotice notice) {
-            mService.quarantine().onPartNotice(notice, now);
+            mService.notices().onPartNotice(notice, now);
+            forward(from.incarnation(), notice);
+        } else if (message instanceof RateLimitNotice notice) {
+            mService.notices().onRateLimitNotice(notice, now);
             forward(from.incarnation(), notice);
         }
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -173,7 +173,7 @@
         mTransport =
                 new PeerTransport(
                         self, FLEET_NAME, secret.accepted(), mPeers, mGroup, PEER_IDLE_TIMEOUT);
-        mService.quarantine().sendNoticesTo(mPeers::broadcast);
+        mService.notices().sendChangesTo(mPeers::broadcast);
         mService.configurationMonitor().observeDirectory(mDirectoryWatch::silentNanos);
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -217,24 +217,16 @@
                 .write();
     }
 
-    /** Logs that a replica advertises another rate limit than before. */
-    void rateLimitStated(final Replica replica, final double share) {
-        mMetrics.onRateLimit(replica.entry().upstream(), "stated");
-        mLog.event("replica", "limit-stated")
+    /** Logs that a replica advertises another rate limit than before, or none any more. */
+    void rateLimit(final Replica replica, final double share, final String source) {
+        final boolean stated = replica.rateLimit().isStated();
+        mMetrics.onRateLimit(replica.entry().upstream(), stated ? "stated" : "ended");
+        mLog.event("replica", stated ? "limit-stated" : "limit-ended")
                 .put("replica", replica.entry().id())
                 .put("per_minute", perMinute(replica))
                 .put("share_percent", Math.round(share * 100))
                 .put("own_in_flight", replica.ownInFlight())
-                .write();
-    }
-
-    /** Logs that a replica no longer advertises a rate limit. */
-    void rateLimitEnded(final Replica replica, final long ageMillis) {
-        mMetrics.onRateLimit(replica.entry().upstream(), "ended");
-        mLog.event("replica", "limit-ended")
-                .put("replica", replica.entry().id())
-                .put("per_minute", perMinute(replica))
-                .put("age_ms", ageMillis)
+                .put("source", source)
                 .write();
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -66,6 +66,7 @@
     private final ConfigurationMonitor mConfigurationMonitor = new ConfigurationMonitor();
     private final OutputLengthEstimator mOutputLengths = new OutputLengthEstimator();
     private final ReplicaRateLimits mRateLimits;
+    private final FleetNotices mNotices;
     private final RelayScheduler mScheduler;
     private final Set<RelayCall> mActive = new LinkedHashSet<>();
     private final PreConfigurationQueue mPreConfigurationQueue = new PreConfigurationQueue();
@@ -93,7 +94,8 @@
         mBudget = budget;
         mQuota = quota;
         mResolver = new RequestResolver(quota, mOutputLengths, this::hasRoom, seed);
-        mRateLimits = new ReplicaRateLimits(log);
+        mRateLimits = new ReplicaRateLimits(mReplicas, log);
+        mNotices = new FleetNotices(mQuarantine, mRateLimits);
         mScheduler = new RelayScheduler(this, log, seed + 1);
     }
 
@@ -121,6 +123,10 @@
         return mRateLimits;
     }
 
+    FleetNotices notices() {
+        return mNotices;
+    }
+
     ConfigurationMonitor configurationMonitor() {
         return mConfigurationMonitor;
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
@@ -1,21 +1,42 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.peer.PeerMessage;
+import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
+import io.persimmonreel.core.peer.PeerMessage.RateLimitState;
 import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import io.persimmonreel.core.ratelimit.RateLimitStatement;
 import io.persimmonreel.core.ratelimit.RateLimitedWait;
 import io.persimmonreel.core.ratelimit.RateShares;
 import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.replica.ReplicaRegistry;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
-/** Keeps requests within the rate limits that replicas advertise. Not thread safe. */
+/**
+ * Keeps requests within the rate limits that replicas advertise, and tells the other daemons of
+ * them. Not thread safe.
+ */
 final class ReplicaRateLimits {
+    /** The maximum number of limits in a notice, which fit into a frame. */
+    private static final int MAXIMUM_LIMITS = 1_024;
+
+    private final ReplicaRegistry mReplicas;
     private final RelayLog mLog;
     private RateShares mShares = RateShares.WHOLE;
+    private Consumer<PeerMessage> mNoticeConsumer = notice -> {};
 
-    ReplicaRateLimits(final RelayLog log) {
+    ReplicaRateLimits(final ReplicaRegistry replicas, final RelayLog log) {
+        mReplicas = replicas;
         mLog = log;
     }
 
+    /** Sets the consumer that sends notices to other daemons. */
+    void sendNoticesTo(final Consumer<PeerMessage> consumer) {
+        mNoticeConsumer = consumer;
+    }
+
     void onShares(final RateShares shares) {
         mShares = shares;
     }
@@ -54,23 +75,62 @@
     void onResponse(
             final Dispatch dispatch, final RateLimitStatement statement, final long nowNanos) {
         final Replica replica = dispatch.replica();
-        final AdvertisedRateLimit limit = replica.rateLimit();
-        final long ageMillis = limit.ageMillis(nowNanos);
-        if (limit.onResponse(statement, dispatch.sentNanos(), nowNanos)) {
-            if (limit.isStated()) {
-                mLog.rateLimitStated(replica, share(replica));
-            } else {
-                mLog.rateLimitEnded(replica, ageMillis);
+        if (replica.rateLimit().onResponse(statement, dispatch.sentNanos(), nowNanos)) {
+            mLog.rateLimit(replica, share(replica), "response");
+            mNoticeConsumer.accept(new RateLimitNotice(List.of(state(replica, nowNanos))));
+        }
+    }
+
+    void onNotice(final RateLimitNotice notice, final long nowNanos) {
+        for (final RateLimitState state : notice.limits()) {
+            final Optional<Replica> replica =
+                    mReplicas
+                            .find(state.replica())
+                            .filter(r -> r.entry().startedMillis() == state.startedMillis());
+            final long age = TimeUnit.MILLISECONDS.toNanos(Math.max(0, state.ageMillis()));
+            if (replica.isPresent()
+                    && replica.get()
+                            .rateLimit()
+                            .onPeerReport(
+                                    state.limited(), state.perSecond(), nowNanos - age, nowNanos)) {
+                mLog.rateLimit(replica.get(), share(replica.get()), "peer");
             }
         }
     }
 
+    /**
+     * Returns the limits of which this daemon has a share. They are repeated for the daemons
+     * without one, which can't hear a limit themselves.
+     */
+    Optional<RateLimitNotice> notice(final long nowNanos) {
+        final List<RateLimitState> limits =
+                mReplicas.all().stream()
+                        .filter(replica -> replica.rateLimit().isStated() && share(replica) > 0)
+                        .limit(MAXIMUM_LIMITS)
+                        .map(replica -> state(replica, nowNanos))
+                        .toList();
+        return limits.isEmpty() ? Optional.empty() : Optional.of(new RateLimitNotice(limits));
+    }
+
+    private static RateLimitState state(final Replica replica, final long nowNanos) {
+        final AdvertisedRateLimit limit = replica.rateLimit();
+        return new RateLimitState(
+                replica.entry().id(),
+                replica.entry().startedMillis(),
+                limit.isStated(),
+                limit.perSecond(),
+                limit.ageMillis(nowNanos));
+    }
+
     private boolean hasPermit(final Replica replica, final long nowNanos) {
         final AdvertisedRateLimit limit = replica.rateLimit();
         return !limit.isLimiting() || limit.waitMillis(share(replica), nowNanos) <= 0;
     }
 
+    /** Returns this daemon's share; all daemons have one while an ended limit is lifted. */
     private double share(final Replica replica) {
-        return mShares.share(replica.idHash(), replica.rateLimit().perSecond());
+        final AdvertisedRateLimit limit = replica.rateLimit();
+        return mShares.share(
+                replica.idHash(), limit.isStated() ? limit.perSecond() : Double.POSITIVE_INFINITY);
     }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaRateLimitTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaRateLimitTest.java
@@ -4,9 +4,12 @@
 import static io.persimmonreel.daemon.relay.ReplicaScripts.respond;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
+import io.persimmonreel.core.peer.PeerMessage.RateLimitState;
 import io.persimmonreel.daemon.upstream.ScriptedUpstream;
 import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
@@ -17,6 +20,8 @@
     private static final int REQUESTS = 40;
     private static final double LIMIT_PER_SECOND = 0.5;
 
+    private static final RateLimitState NOTHING_ALLOWED = new RateLimitState("r0", 1, true, 0, 0);
+
     /** The header lines with which a replica without a limit responds. */
     private static final String NO_LIMIT = "";
 
@@ -107,6 +112,29 @@
 
     @Nested
     class ALimit {
+        @Test
+        void thatAPeerReportsHoldsBeforeTheFirstRequest() throws Exception {
+            try (RelayFixture relay = start();
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                peer.send(new RateLimitNotice(List.of(NOTHING_ALLOWED)));
+                RelayFixture.await(() -> relay.log().contains("\"source\":\"peer\""));
+                assertThat(lookup(relay)).startsWith("HTTP/1.1 503");
+                assertThat(requestsAtFirst(relay)).isZero();
+            }
+        }
+
+        @Test
+        void isReportedToPeersAtOnceAndToThoseThatConnectLater() throws Exception {
+            try (RelayFixture relay = start();
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                awaitLimit(relay);
+                RelayFixture.await(() -> !peer.received(RateLimitNotice.class).isEmpty());
+                try (ScriptedPeer later = new ScriptedPeer(relay, 2)) {
+                    RelayFixture.await(() -> !later.received(RateLimitNotice.class).isEmpty());
+                }
+            }
+        }
+
         @Test
         void ofAResponseToAnotherRequestIsIgnored() throws Exception {
             try (RelayFixture relay = new RelayFixture(1)) {
