Compute the rank of a daemon for a rate limit once for each replica

The rank was computed at each look-up, a hash for each member: with 880 daemons and many limited replicas more than a millisecond for each placement, and most of the time of AdvertisedRateLimitTest, which ran for over a minute beside load.

--- a/core/src/main/java/io/persimmonreel/core/ratelimit/RateShares.java
+++ b/core/src/main/java/io/persimmonreel/core/ratelimit/RateShares.java
@@ -3,6 +3,8 @@
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -12,14 +14,11 @@
  * <p>All daemons with the same view of members compute the same division: equal shares. If a limit
  * is low, only some of the daemons get a share, others for each replica, since every daemon with a
  * share may send one request at any time and these requests add up. A member that is silent keeps
- * its share until it is forgotten. Immutable.
+ * its share until it is forgotten. Not thread safe.
  */
 public final class RateShares {
     private static final Hasher64 HASHER = Hashing.komihash5_0();
 
-    /** The share of a daemon that is alone. */
-    public static final RateShares WHOLE = new RateShares("", Set.of(), 1);
-
     /**
      * The number of daemons with a share is bounded by a constant and by the requests that a
      * replica takes in this many seconds.
@@ -32,12 +31,24 @@
     private final long[] mOthers;
     private final int mSize;
 
+    /** The ranks of this daemon by replica, computed on first use. */
+    private final Map<Long, Integer> mRanks = new HashMap<>();
+
     private RateShares(final String self, final Set<String> others, final int size) {
         mSelf = HASHER.hashCharsToLong(self);
         mOthers = others.stream().mapToLong(HASHER::hashCharsToLong).toArray();
         mSize = size;
     }
 
+    /**
+     * Creates the shares of a daemon that is alone.
+     *
+     * @return shares of all limits as a whole
+     */
+    public static RateShares whole() {
+        return new RateShares("", Set.of(), 1);
+    }
+
     /**
      * Creates the shares of a daemon.
      *
@@ -65,6 +76,12 @@
         if (mSize <= mostHolders) {
             return 1.0 / mSize;
         }
+        final int before = mRanks.computeIfAbsent(replicaHash, this::rank);
+        return before < mostHolders ? 1.0 / mostHolders : 0;
+    }
+
+    /** Returns the number of members that come before this daemon for a replica. */
+    private int rank(final long replicaHash) {
         final long own = HASHER.hashLongLongToLong(replicaHash, mSelf);
         int before = 0;
         for (final long other : mOthers) {
@@ -72,6 +89,6 @@
                 before++;
             }
         }
-        return before < mostHolders ? 1.0 / mostHolders : 0;
+        return before;
     }
 }
--- a/core/src/test/java/io/persimmonreel/core/ratelimit/AdvertisedRateLimitTest.java
+++ b/core/src/test/java/io/persimmonreel/core/ratelimit/AdvertisedRateLimitTest.java
@@ -33,15 +33,17 @@
         for (int i = 0; i < daemons; i++) {
             names.add("daemon-" + i);
         }
-        final List<RateShares> shares =
-                names.stream().map(name -> RateShares.of(name, names, 1)).toList();
+        final List<Double> shares =
+                names.stream()
+                        .map(name -> RateShares.of(name, names, 1).share(42, perSecond))
+                        .toList();
         final List<AdvertisedRateLimit> limits = new ArrayList<>();
         names.forEach(name -> limits.add(new AdvertisedRateLimit()));
         limits.forEach(limit -> limit.onResponse(stated(perSecond), 0, 0));
         final List<Long> sends = new ArrayList<>();
         for (long now = idleNanos; now < endNanos; now += TICK) {
             for (int i = 0; i < daemons; i++) {
-                final double share = shares.get(i).share(42, perSecond);
+                final double share = shares.get(i);
                 if (share > 0 && limits.get(i).waitMillis(share, now) <= 0) {
                     limits.get(i).onSent(share, now);
                     limits.get(i).onResponse(stated(perSecond), now, now);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
@@ -24,7 +24,7 @@
 
     private final ReplicaRegistry mReplicas;
     private final RelayLog mLog;
-    private RateShares mShares = RateShares.WHOLE;
+    private RateShares mShares = RateShares.whole();
     private Consumer<PeerMessage> mNoticeConsumer = notice -> {};
 
     ReplicaRateLimits(final ReplicaRegistry replicas, final RelayLog log) {
