--- a/core/src/main/java/io/persimmonreel/core/ratelimit/RateShares.java
+++ b/core/src/main/java/io/persimmonreel/core/ratelimit/RateShares.java
@@ -72,12 +72,12 @@
      * @return a fraction from 0 to 1
      */
     public double share(final long replicaHash, final double perSecond) {
-        final double mostHolders = Math.floor(MINIMUM_BURST + BURST_SECONDS * perSecond);
-        if (mSize <= mostHolders) {
+        final double maximumSharing = Math.floor(MINIMUM_BURST + BURST_SECONDS * perSecond);
+        if (mSize <= maximumSharing) {
             return 1.0 / mSize;
         }
         final int before = mRanks.computeIfAbsent(replicaHash, this::rank);
-        return before < mostHolders ? 1.0 / mostHolders : 0;
+        return before < maximumSharing ? 1.0 / maximumSharing : 0;
     }
 
     /** Returns the number of members that come before this daemon for a replica. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/FleetNotices.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/FleetNotices.java
@@ -1,13 +1,11 @@
 package io.persimmonreel.daemon.relay;
 
 import io.persimmonreel.core.peer.PeerMessage;
-import io.persimmonreel.core.peer.PeerMessage.PartNotice;
-import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
-/** Collects and applies what daemons tell each other of replicas. Not thread safe. */
+/** Collects what this daemon tells the others of replicas. Not thread safe. */
 final class FleetNotices {
     private final ContentQuarantine mQuarantine;
     private final ReplicaRateLimits mRateLimits;
@@ -36,12 +34,4 @@
         mRateLimits.notice(nowNanos).ifPresent(notices::add);
         return notices;
     }
-
-    void onPartNotice(final PartNotice notice, final long nowNanos) {
-        mQuarantine.onPartNotice(notice, nowNanos);
-    }
-
-    void onRateLimitNotice(final RateLimitNotice notice, final long nowNanos) {
-        mRateLimits.onNotice(notice, nowNanos);
-    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -246,10 +246,10 @@
         } else if (message instanceof QuarantineNotice notice) {
             onNotice(from.incarnation(), notice, now);
         } else if (message instanceof PartNotice notice) {
-            mService.notices().onPartNotice(notice, now);
+            mService.quarantine().onPartNotice(notice, now);
             forward(from.incarnation(), notice);
         } else if (message instanceof RateLimitNotice notice) {
-            mService.notices().onRateLimitNotice(notice, now);
+            mService.rateLimits().onNotice(notice, now);
             forward(from.incarnation(), notice);
         }
     }
