Show a relay that never reads the store again

Cause: where no socket can be opened, the client of the store forgets its call and then fails to close a channel without an event loop, so that the next call is never made.

--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -2,6 +2,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
@@ -11,7 +12,8 @@
     private final InputStream mIn;
 
     Client(final int port, final int timeoutMillis) throws IOException {
-        mSocket = new Socket("127.0.0.1", port);
+        mSocket = new Socket();
+        mSocket.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
         mSocket.setSoTimeout(timeoutMillis);
         mIn = new BufferedInputStream(mSocket.getInputStream());
     }
--- a/review/standins/FreezeHang.java
+++ b/review/standins/FreezeHang.java
@@ -21,14 +21,18 @@
     private static final int STREAM_TIMEOUT_MILLIS = 12_000;
     private static final int THINK_MILLIS = 4_800;
     private static final int LATE_MILLIS = 500;
-    private static final int FREEZES = 2;
+    private static final int FREEZES = 4;
     private static final int FREEZE_MILLIS = 5_000;
     private static final int CALM_MILLIS = 9_000;
+    private static final int CHARGES = 10;
+    private static final int CHARGE_TIMEOUT_MILLIS = 1_200;
+    private static final int CHARGE_DEADLINE_MILLIS = 2_500;
 
     private static final Map<String, Integer> ENDS = new ConcurrentSkipListMap<>();
     private static final AtomicInteger FOREIGN = new AtomicInteger();
     private static final AtomicInteger DUE = new AtomicInteger();
     private static final AtomicInteger UNANSWERED = new AtomicInteger();
+    private static final AtomicInteger LATE_CHARGES = new AtomicInteger();
     private static volatile boolean sEnded;
 
     private FreezeHang() {}
@@ -40,12 +44,15 @@
             deployment.configure(
                     1,
                     "[" + Deployment.route("guide", "/guide/", "streaming", STREAM_TIMEOUT_MILLIS, 400, "llm", 1)
+                           
+                            + "," + Deployment.route("charge", "/charge/", "non_idempotent", CHARGE_TIMEOUT_MILLIS, 150, "api", 1)
                             + "]",
-                    "[" + Deployment.backend("llm") + "]",
+                    "[" + Deployment.backend("llm") + "," + Deployment.backend("api") + "]",
                     "[]");
             for (int i = 0; i < STREAM_REPLICAS; i++) {
                 deployment.register("m-" + i, "llm", new StreamReplica("m-" + i, STREAM_SLOTS, record).port(), STREAM_SLOTS);
             }
+            deployment.register("p-0", "api", new SoundReplica("p-0", 43, record).port(), 6);
             if (!deployment.start()) {
                 record.line("the relay did not get ready");
                 System.exit(2);
@@ -69,16 +76,30 @@
                     relay.signal("CONT");
                     record.line("the relay is continued (SIGCONT)");
                 }
-                Thread.sleep(2 * CALM_MILLIS);
+                Thread.sleep(CALM_MILLIS);
             }
             sEnded = true;
             for (final Thread thread : clients) {
                 thread.join();
             }
             record.line("streams ended: %s", ENDS);
+            final List<Thread> charges = new ArrayList<>();
+            for (int i = 0; i < CHARGES; i++) {
+                final String attempt = "c" + i;
+                final Thread thread = new Thread(() -> charge(relay.callerPort(), attempt, record));
+                thread.start();
+                charges.add(thread);
+                Thread.sleep(50);
+            }
+            for (final Thread thread : charges) {
+                thread.join();
+            }
+            record.line(
+                    "%d of %d charges at a mute replica had no answer half a second after their time-out",
+                    LATE_CHARGES.get(), CHARGES);
             record.line("%d answers belonged to another request", FOREIGN.get());
             record.line(
-                    "of %d requests that were unanswered at their route's time-out, %d had no answer half a"
+                    "of %d streams that were unanswered at their route's time-out, %d had no answer half a"
                             + " second later",
                     DUE.get(), UNANSWERED.get());
             record.line("the relay is alive: %s, ready: %s", relay.isAlive(), relay.isReady());
@@ -86,7 +107,10 @@
                     "errors in the relay's log: %d",
                     relay.output().lines().filter(line -> line.contains("StackOverflowError")).count());
         }
-        System.exit(FOREIGN.get() > 0 || 2 * UNANSWERED.get() > DUE.get() ? 1 : 0);
+        System.exit(
+                FOREIGN.get() > 0 || 2 * UNANSWERED.get() > DUE.get() || 2 * LATE_CHARGES.get() > CHARGES
+                        ? 1
+                        : 0);
     }
 
     /** Sends one stream after the other on one connection, with a pause between them. */
@@ -147,4 +171,20 @@
         record.line("%s: %s after %d ms", attempt, end, millis);
         return reusable;
     }
+
+    /** Sends a request to a replica that runs it and does not answer. */
+    private static void charge(final int port, final String attempt, final Record record) {
+        final long start = System.nanoTime();
+        String end;
+        try (Client client = new Client(port, CHARGE_DEADLINE_MILLIS + LATE_MILLIS)) {
+            final Http.Answer answer =
+                    client.call("/charge/mute", attempt, CHARGE_DEADLINE_MILLIS, new byte[600]);
+            end = answer == null ? "closed" : answer.head().line();
+        } catch (final IOException e) {
+            end = e.toString();
+        }
+        final long millis = (System.nanoTime() - start) / 1_000_000;
+        LATE_CHARGES.addAndGet(millis > CHARGE_TIMEOUT_MILLIS + LATE_MILLIS ? 1 : 0);
+        record.line("%s: %s after %d ms", attempt, end, millis);
+    }
 }
--- a/review/standins/Relay.java
+++ b/review/standins/Relay.java
@@ -16,6 +16,9 @@
 final class Relay implements AutoCloseable {
     private static final Path ROOT = Path.of(System.getProperty("project.root")).toAbsolutePath();
 
+    /** The max_fds of the machines, which the platform sets for each process. */
+    private static final int DESCRIPTORS = 4_200;
+
     private final String mName;
     private final Path mFolder;
     private final int mCallerPort;
@@ -78,7 +81,8 @@
         final String deploy = Files.readString(ROOT.resolve("deploy/system.toml"));
         final String command = find(deploy, "(?m)^run = \"([^\"]*)\"");
         final String secret = find(deploy, "PERSIMMONREEL_FLEET_SECRET = \"([^\"]*)\"");
-        final ProcessBuilder builder = new ProcessBuilder(command.split(" "));
+        final ProcessBuilder builder =
+                new ProcessBuilder("bash", "-c", "ulimit -n " + DESCRIPTORS + " && exec " + command);
         builder.directory(ROOT.toFile());
         builder.environment().put("PERSIMMONREEL_SETTINGS", settings.toString());
         builder.environment().put("PERSIMMONREEL_FLEET_SECRET", secret);
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -30,6 +30,7 @@
     private final TreeMap<String, Item> mItems = new TreeMap<>();
     private final List<Item> mHistory = new ArrayList<>();
     private long mRevision = 100;
+    private boolean mDown;
 
     Store() throws IOException {
         mServer = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
@@ -56,6 +57,12 @@
         notifyAll();
     }
 
+    /** Begins or ends an outage, in which calls and waiting watches are cut without an answer. */
+    synchronized void setDown(final boolean down) {
+        mDown = down;
+        notifyAll();
+    }
+
     synchronized void delete(final String key) {
         if (mItems.remove(key) != null) {
             mRevision++;
@@ -71,6 +78,7 @@
     }
 
     private synchronized void onKey(final HttpExchange exchange) throws IOException {
+        requireUp();
         final Item item = mItems.get(query(exchange).get("key"));
         if (item == null) {
             answer(exchange, 404, "{}");
@@ -81,6 +89,7 @@
     }
 
     private synchronized void onRange(final HttpExchange exchange) throws IOException {
+        requireUp();
         final Map<String, String> query = query(exchange);
         final String prefix = query.getOrDefault("prefix", "");
         final String after = query.getOrDefault("after", "");
@@ -107,6 +116,7 @@
         final long at;
         synchronized (this) {
             while (true) {
+                requireUp();
                 for (final Item item : mHistory) {
                     if (item.revision() > after && item.key().startsWith(prefix)) {
                         events.add(item.json());
@@ -127,6 +137,13 @@
         answer(exchange, 200, "{\"events\":[" + String.join(",", events) + "],\"at\":" + at + "}");
     }
 
+    private void requireUp() throws IOException {
+        if (mDown) {
+            // The server closes the connection of a handler that fails.
+            throw new IOException("the store is down");
+        }
+    }
+
     private static Map<String, String> query(final HttpExchange exchange) {
         final Map<String, String> values = new HashMap<>();
         final String raw = exchange.getRequestURI().getRawQuery();
