Show a stream that a planned stop accepts and cuts off

Cause: a daemon that is leaving takes a request if 2.5 times its estimated length fits into the grace time, and the lengths of outputs vary by ten.

--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -10,6 +10,7 @@
 final class Client implements AutoCloseable {
     private final Socket mSocket;
     private final InputStream mIn;
+    private String mSizes = "";
 
     Client(final int port, final int timeoutMillis) throws IOException {
         mSocket = new Socket();
@@ -30,6 +31,13 @@
         return Http.readAnswer(mIn);
     }
 
+    /** Sends a request with the sizes of its prompt and its output, and returns its answer. */
+    Http.Answer generate(final String path, final String attempt, final int deadlineMillis)
+            throws IOException {
+        mSizes = "Token-Usage: 628,2940\r\nLength-Hint: 294\r\n";
+        return call(path, attempt, deadlineMillis, new byte[830]);
+    }
+
     void send(
             final String path, final String attempt, final int deadlineMillis, final byte[] body)
             throws IOException {
@@ -37,7 +45,7 @@
         out.write(
                 ("POST " + path + " HTTP/1.1\r\nHost: " + Deployment.HOST + "\r\nAttempt-Id: "
                                 + attempt + "\r\nDeadline-Ms: " + deadlineMillis
-                                + "\r\nContent-Length: " + body.length + "\r\n\r\n")
+                                + "\r\n" + mSizes + "Content-Length: " + body.length + "\r\n\r\n")
                         .getBytes(StandardCharsets.US_ASCII));
         out.write(body);
         out.flush();
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -63,6 +63,12 @@
                 + ",\"upstream_tls\":false}";
     }
 
+    static String engine(final String name) {
+        final String plain = backend(name);
+        return plain.substring(0, plain.length() - 1)
+                + ",\"runtime\":{\"max_concurrency\":10,\"kv_capacity\":585711,\"interval\":6}}";
+    }
+
     void register(final String id, final String backend, final int port, final int slots) {
         mStore.put(
                 "servers/" + id,
--- a/review/standins/FreezeHang.java
+++ b/review/standins/FreezeHang.java
@@ -18,6 +18,8 @@
     private static final int CLIENTS = 600;
     private static final int STREAM_REPLICAS = 3;
     private static final int STREAM_SLOTS = 10;
+    private static final int STREAM_EVENTS = 8;
+    private static final int EVENT_MILLIS = 23;
     private static final int STREAM_TIMEOUT_MILLIS = 12_000;
     private static final int THINK_MILLIS = 4_800;
     private static final int LATE_MILLIS = 500;
@@ -50,7 +52,7 @@
                     "[" + Deployment.backend("llm") + "," + Deployment.backend("api") + "]",
                     "[]");
             for (int i = 0; i < STREAM_REPLICAS; i++) {
-                deployment.register("m-" + i, "llm", new StreamReplica("m-" + i, STREAM_SLOTS, record).port(), STREAM_SLOTS);
+                deployment.register("m-" + i, "llm", new StreamReplica("m-" + i, STREAM_SLOTS, STREAM_EVENTS, EVENT_MILLIS, record).port(), STREAM_SLOTS);
             }
             deployment.register("p-0", "api", new SoundReplica("p-0", 43, record).port(), 6);
             if (!deployment.start()) {
--- a/review/standins/StreamReplica.java
+++ b/review/standins/StreamReplica.java
@@ -11,19 +11,33 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A model replica: streams events to a number of requests at once and queues some more. */
+/**
+ * A model replica: streams events to a number of requests at once and queues some more. A request
+ * whose path contains "long" gets ten times as many events.
+ */
 final class StreamReplica implements AutoCloseable {
     private static final int QUEUE = 60;
-    private static final int EVENTS = 8;
-    private static final int EVENT_MILLIS = 23;
 
+    /** The longest output of a kind of request against the mean one. */
+    private static final int LONG_FACTOR = 10;
+
+    private final int mEvents;
+    private final int mEventMillis;
     private final String mId;
     private final Record mRecord;
     private final Semaphore mSlots;
     private final AtomicInteger mWaiting = new AtomicInteger();
     private final ServerSocket mServer = new ServerSocket();
 
-    StreamReplica(final String id, final int slots, final Record record) throws IOException {
+    StreamReplica(
+            final String id,
+            final int slots,
+            final int events,
+            final int eventMillis,
+            final Record record)
+            throws IOException {
+        mEventMillis = eventMillis;
+        mEvents = events;
         mId = id;
         mRecord = record;
         mSlots = new Semaphore(slots, true);
@@ -69,7 +83,7 @@
                 } else if (mWaiting.get() >= QUEUE) {
                     reject(out, "503 Service Unavailable", attempt, "Not-Executed: 1\r\n");
                 } else {
-                    stream(out, attempt);
+                    stream(out, attempt, head.line().contains("long") ? LONG_FACTOR * mEvents : mEvents);
                 }
                 head = Http.readHead(in);
             }
@@ -78,7 +92,7 @@
         }
     }
 
-    private void stream(final OutputStream out, final String attempt)
+    private void stream(final OutputStream out, final String attempt, final int events)
             throws IOException, InterruptedException {
         mWaiting.incrementAndGet();
         final boolean admitted = mSlots.tryAcquire(12, TimeUnit.SECONDS);
@@ -94,8 +108,8 @@
                                     + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding:"
                                     + " chunked\r\n\r\n")
                             .getBytes(StandardCharsets.US_ASCII));
-            for (int i = 1; i <= EVENTS; i++) {
-                Thread.sleep(EVENT_MILLIS);
+            for (int i = 1; i <= events; i++) {
+                Thread.sleep(mEventMillis);
                 final String event = "id: " + i + "\ndata: piece " + i + " of " + attempt + "\n\n";
                 out.write(
                         (Integer.toHexString(event.length()) + "\r\n" + event + "\r\n")
