--- a/review/standins/Descriptors.java
+++ b/review/standins/Descriptors.java
@@ -13,6 +13,7 @@
     private static final int USERS = Integer.getInteger("users", 5_600);
     private static final int USERS_PER_SECOND = Integer.getInteger("rate", 350);
     private static final int USERS_BEFORE_OUTAGE = 4_250;
+    private static final int ANSWERS_MILLIS = 4_000;
     private static final int OUTAGE_MILLIS = 4_500;
     private static final int IN_TOUCH_MILLIS = 3_000;
     private static final int PROPAGATION_MILLIS = 2_000;
@@ -91,15 +92,17 @@
             }
         }
         record.line("%d users have come", open.size());
+        final long end = System.nanoTime() + ANSWERS_MILLIS * 1_000_000L;
         for (final Client client : open) {
-            String end;
+            String answered;
             try {
+                client.socket().setSoTimeout((int) Math.max(1, (end - System.nanoTime()) / 1_000_000));
                 final Http.Answer answer = client.answer();
-                end = answer == null ? "closed" : answer.head().line();
+                answered = answer == null ? "closed" : answer.head().line();
             } catch (final IOException e) {
-                end = e.toString();
+                answered = e.toString();
             }
-            ends.merge(end, 1, Integer::sum);
+            ends.merge(answered, 1, Integer::sum);
         }
         record.line("their requests ended: %s", ends);
         for (final Client client : open) {
--- a/review/standins/Relay.java
+++ b/review/standins/Relay.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -6,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +21,10 @@
     /** The max_fds of the machines, which the platform sets for each process. */
     private static final int DESCRIPTORS = 4_200;
 
+    private static final int FIRST_PORT = 15_000;
+    private static final int LAST_PORT = 32_000;
+    private static final SecureRandom RANDOM = new SecureRandom();
+
     private final String mName;
     private final Path mFolder;
     private final int mCallerPort;
@@ -32,7 +38,7 @@
         mFolder = folder;
         final List<ServerSocket> reserved = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            reserved.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+            reserved.add(freePort());
         }
         mCallerPort = reserved.get(0).getLocalPort();
         mReadyPort = reserved.get(1).getLocalPort();
@@ -43,6 +49,19 @@
         }
     }
 
+    /** Binds a free port below the range from which the system takes the ports of clients. */
+    private static ServerSocket freePort() throws IOException {
+        for (int i = 0; i < 1_000; i++) {
+            final int port = FIRST_PORT + RANDOM.nextInt(LAST_PORT - FIRST_PORT);
+            try {
+                return new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+            } catch (final BindException e) {
+                // In use.
+            }
+        }
+        throw new IOException("no free port");
+    }
+
     int callerPort() {
         return mCallerPort;
     }
