--- a/review/standins/SoundReplica.java
+++ b/review/standins/SoundReplica.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 
 /**
  * A replica that reads each request whole, runs it and answers it with the attempt's own body. A
@@ -19,11 +20,19 @@
     private final String mId;
     private final Record mRecord;
     private final int mWorkMillis;
+    private final Semaphore mSlots;
     private final ServerSocket mServer = new ServerSocket();
     private final Map<String, Integer> mRuns = new ConcurrentHashMap<>();
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
 
     SoundReplica(final String id, final int workMillis, final Record record) throws IOException {
+        this(id, workMillis, Integer.MAX_VALUE, record);
+    }
+
+    /** Creates a replica that runs a number of requests at once and queues the others. */
+    SoundReplica(final String id, final int workMillis, final int slots, final Record record)
+            throws IOException {
+        mSlots = new Semaphore(slots, true);
         mId = id;
         mRecord = record;
         mWorkMillis = workMillis;
@@ -79,13 +88,9 @@
                 if (!mId.equals(head.field("Expected-Replica"))) {
                     write(out, "421 Misdirected Request", attempt, "Replica-Id: " + mId + "\r\n", new byte[0]);
                 } else {
-                    mRuns.merge(attempt, 1, Integer::sum);
-                    mRecord.line("replica %s runs %s", mId, attempt);
-                    if (head.line().contains("mute")) {
-                        in.read();
+                    if (!run(head, attempt, in)) {
                         return;
                     }
-                    Thread.sleep(mWorkMillis);
                     write(out, "200 OK", attempt, "Replica-Signature: sig-" + mId + "\r\n", answer(attempt));
                 }
                 head = Http.readHead(in);
@@ -97,6 +102,24 @@
         }
     }
 
+    /** Returns whether the request is to be answered. */
+    private boolean run(final Http.Head head, final String attempt, final InputStream in)
+            throws IOException, InterruptedException {
+        mSlots.acquire();
+        try {
+            mRuns.merge(attempt, 1, Integer::sum);
+            mRecord.line("replica %s runs %s", mId, attempt);
+            if (head.line().contains("mute")) {
+                in.read();
+                return false;
+            }
+            Thread.sleep(mWorkMillis);
+            return true;
+        } finally {
+            mSlots.release();
+        }
+    }
+
     private static void write(
             final OutputStream out,
             final String status,
