Keep the case of the descriptors inside the doses of the site file

Cause: the script sent the rate of a burst for 16 s, and the site file's longest burst is 5 s. Now the usual rate is followed by three bursts of 5 s with pauses.

--- a/review/standins/Descriptors.java
+++ b/review/standins/Descriptors.java
@@ -6,13 +6,19 @@
 import java.util.TreeMap;
 
 /**
- * Many users come at once and keep their connections, until the relay has no descriptor left for a
- * moment; the store is down meanwhile. When all that is over, the configuration changes.
+ * Users come at the usual rate, then in three bursts, and keep their connections until the relay closes
+ * them as idle. For a moment the relay has no descriptor left, and the store is down meanwhile. When all
+ * that is over, the configuration changes.
  */
 public final class Descriptors {
-    private static final int USERS = Integer.getInteger("users", 5_600);
-    private static final int USERS_PER_SECOND = Integer.getInteger("rate", 350);
-    private static final int USERS_BEFORE_OUTAGE = 4_250;
+    private static final double USERS_PER_SECOND = 166.8;
+    private static final double BURST_FACTOR = 2.1;
+    private static final int USUAL_MILLIS = 10_000;
+    private static final int BURSTS = 3;
+    private static final int BURST_MILLIS = 5_000;
+    private static final int PAUSE_MILLIS = 500;
+    private static final int OUTAGE_AT_MILLIS = 20_000;
+    private static final int STEP_MILLIS = 100;
     private static final int ANSWERS_MILLIS = 4_000;
     private static final int OUTAGE_MILLIS = 4_500;
     private static final int IN_TOUCH_MILLIS = 3_000;
@@ -41,7 +47,7 @@
             final Relay relay = deployment.relay(0);
             final int port = relay.callerPort();
             for (int round = 0; round < ROUNDS; round++) {
-                burst("u" + round + "-", port, trouble, deployment.store(), record);
+                users("u" + round + "-", port, trouble, deployment.store(), record);
             }
             Thread.sleep(IN_TOUCH_MILLIS);
             deployment.configure(2, "[" + newRoute + "]", backends, "[]");
@@ -65,7 +71,7 @@
     }
 
     /** Sends a request of each user on a connection of its own, which stays open. */
-    private static void burst(
+    private static void users(
             final String prefix,
             final int port,
             final boolean trouble,
@@ -74,22 +80,29 @@
             throws IOException, InterruptedException {
         final List<Client> open = new ArrayList<>();
         final Map<String, Integer> ends = new TreeMap<>();
-        final int users = trouble ? USERS : USERS / 10;
-        for (int i = 0; i < users; i++) {
-            if (trouble && i == USERS_BEFORE_OUTAGE) {
-                record.line("%d users have come", i);
+        final long start = System.nanoTime();
+        boolean down = false;
+        double due = 0;
+        for (int at = 0; at < USUAL_MILLIS + BURSTS * (BURST_MILLIS + PAUSE_MILLIS); at += STEP_MILLIS) {
+            final double factor = trouble && isBurst(at) ? BURST_FACTOR : 1;
+            due += factor * USERS_PER_SECOND * STEP_MILLIS / 1_000;
+            if (trouble && !down && at >= OUTAGE_AT_MILLIS) {
+                down = true;
+                record.line("%d users have come", open.size());
                 startOutage(store, record);
             }
-            try {
-                final Client client = new Client(port, 3_000);
-                client.send("/old/charge", prefix + i, 2_500, new byte[600]);
-                open.add(client);
-            } catch (final IOException e) {
-                ends.merge(e.toString(), 1, Integer::sum);
-            }
-            if (i % 29 == 28) {
-                Thread.sleep(29 * 1_000 / USERS_PER_SECOND);
+            for (int number = open.size() + ends.values().stream().mapToInt(n -> n).sum();
+                    number < (int) due;
+                    number++) {
+                try {
+                    final Client client = new Client(port, 3_000);
+                    client.send("/old/charge", prefix + number, 2_500, new byte[600]);
+                    open.add(client);
+                } catch (final IOException e) {
+                    ends.merge(e.toString(), 1, Integer::sum);
+                }
             }
+            Thread.sleep(Math.max(0, at + STEP_MILLIS - (System.nanoTime() - start) / 1_000_000));
         }
         record.line("%d users have come", open.size());
         final long end = System.nanoTime() + ANSWERS_MILLIS * 1_000_000L;
@@ -112,6 +125,11 @@
         Thread.sleep(IN_TOUCH_MILLIS);
     }
 
+    private static boolean isBurst(final int atMillis) {
+        return atMillis >= USUAL_MILLIS
+                && (atMillis - USUAL_MILLIS) % (BURST_MILLIS + PAUSE_MILLIS) < BURST_MILLIS;
+    }
+
     /** Cuts all calls of the store for a while. */
     private static void startOutage(final Store store, final Record record) {
         final Thread thread =
