--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -d review/target/classes ] || exit 2
 timeout -k 2 115 java -Xmx256m -Dproject.root=. -cp review/target/classes \
-  RunCase Descriptors review/3/record.txt
+  RunCase FreezeHang review/3/record.txt
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
