Refuse late streams that may outlive a stopping daemon

Cause: ShutdownAdmission compared 2.5 times the estimated time with the rest of the grace time. Outputs vary more than that; the maximum that a request states was not used.

Fix: before load balancers have reacted, the estimate decides as before. Afterwards a response must end in time at its greatest length, by the stated maximum or the deadline; a refused caller is served by another daemon at once.

--- a/core/src/main/java/io/persimmonreel/core/admission/ShutdownAdmission.java
+++ b/core/src/main/java/io/persimmonreel/core/admission/ShutdownAdmission.java
@@ -3,8 +3,9 @@
 /**
  * Decides whether a daemon that is shutting down still accepts a request.
  *
- * <p>Callers keep using open connections after the daemon was told to stop. A request that would be
- * cut off at the end of the process is better served by another daemon.
+ * <p>Callers keep using open connections after the daemon was told to stop. A response that is cut
+ * off at the end of the process costs its caller all the time that it took, while a refused caller
+ * repeats the request at another daemon at once.
  */
 public final class ShutdownAdmission {
     /** The actual output may be longer than the estimate by about this factor. */
@@ -16,11 +17,25 @@
     /**
      * Decides whether a request is accepted.
      *
-     * @param totalMillis the predicted time to the end of its response in milliseconds
+     * <p>Before load balancers have reacted to the shutdown, refused callers would come in numbers
+     * and some of them back to this daemon, so a response only has to be complete in time most
+     * likely. Afterwards it has to be complete in time at its greatest length.
+     *
+     * @param forecast how long the response takes
+     * @param balancersReacted whether load balancers direct callers to other daemons
      * @param endMillis the time until the process ends in milliseconds
-     * @return true if the response will most likely be complete by then
+     * @return true if the request is accepted
      */
-    public boolean accepts(final double totalMillis, final double endMillis) {
-        return totalMillis * LENGTH_MARGIN + RESERVE_MILLIS <= endMillis;
+    public boolean accepts(
+            final ResponseForecast forecast,
+            final boolean balancersReacted,
+            final double endMillis) {
+        final double neededMillis =
+                balancersReacted
+                        ? forecast.longestMillis()
+                        : Math.min(
+                                forecast.expectedMillis() * LENGTH_MARGIN,
+                                forecast.longestMillis());
+        return neededMillis + RESERVE_MILLIS <= endMillis;
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -275,8 +275,8 @@
     }
 
     /** Accepts from now on only requests that can be served before the process ends. */
-    void beginShutdown(final long processEndNanos) {
-        mScheduler.beginShutdown(processEndNanos);
+    void beginShutdown(final RelayScheduler.Shutdown shutdown) {
+        mScheduler.beginShutdown(shutdown);
     }
 
     /** Fails all remaining requests because the process has to end. */
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayShutdownTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayShutdownTest.java
@@ -5,9 +5,13 @@
 import static io.persimmonreel.daemon.relay.ReplicaScripts.runCount;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.persimmonreel.core.route.EngineProfile;
+import io.persimmonreel.core.route.RelayConfiguration;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -97,6 +101,44 @@
         }
     }
 
+    @Nested
+    class AfterLoadBalancersHaveReacted {
+        private static final long REACTION_MILLIS = 2_600;
+
+        /** Guards against a stream that is accepted late and cut off at the end of the process. */
+        @Test
+        void refusesAStreamOfUnlimitedLength() throws Exception {
+            final RelayConfiguration configuration =
+                    RelayFixture.configuration(1, 2, 0, Optional.of(new EngineProfile(1)));
+            try (RelayFixture relay = new RelayFixture(1, Duration.ofMillis(6_500), configuration);
+                    Socket earlier = relay.connect()) {
+                final CountDownLatch mayRespond = new CountDownLatch(1);
+                relay.replica(0)
+                        .addScript(
+                                e -> {
+                                    mayRespond.await();
+                                    respond(e, 200, "whole");
+                                })
+                        .addScript(
+                                e -> {
+                                    ReplicaScripts.startStream(e);
+                                    ReplicaScripts.writeChunk(e, ReplicaScripts.event(1));
+                                    e.awaitClose();
+                                });
+                RelayFixture.send(earlier, "POST", "/charge/1", ATTEMPT_HEADER, "x");
+                RelayFixture.await(() -> runCount(relay, 1) == 1);
+                final Thread stopping = stop(relay);
+                TimeUnit.MILLISECONDS.sleep(REACTION_MILLIS);
+                assertThat(relay.request("POST", "/notes/1", ATTEMPT_HEADER, "x"))
+                        .startsWith("HTTP/1.1 503");
+                mayRespond.countDown();
+                assertThat(new String(earlier.getInputStream().readAllBytes())).endsWith("whole");
+                stopping.join();
+                assertThat(runCount(relay, 1)).isEqualTo(1);
+            }
+        }
+    }
+
     @Nested
     class AtTheEndOfTheGraceTime {
         /** Callers repeat a charge after 503, so a charge that a replica runs must not get it. */
