Take a response without a length as whole only after its end of input

Cause: a response without a length ends with its connection, and every end of the channel counted unless a read had met a reset. A reset that is met in a write closes the channel without exceptionCaught.

Fix: the end of the input is reported apart from the end of the channel (ALLOW_HALF_CLOSURE) and has to be seen. All other ends of a channel make such a response incomplete, for buffered, streamed and event responses.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -74,7 +76,8 @@
     private int mSkippedBytes;
     private boolean mReusable;
     private boolean mUsedBefore;
-    private boolean mReset;
+    private boolean mEndOfInput;
+    private boolean mEndsWithConnection;
     private long mIdleSinceNanos;
     private long mIdleLimitNanos;
 
@@ -134,6 +137,7 @@
         mHeadRequest = request.method().equals(HttpMethod.HEAD);
         mWritten = false;
         mResponseStarted = false;
+        mEndsWithConnection = false;
         mSkippingResponse = false;
         mSkippedResponses = 0;
         mSkippedBytes = 0;
@@ -201,9 +205,23 @@
         }
     }
 
+    /**
+     * Records that the replica ended its side of the connection in order. A reset, which may be met
+     * in a read or in a write, and a channel that is closed here don't end in this way.
+     */
+    void onEndOfInput() {
+        mEndOfInput = true;
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            fail("the replica closed the connection");
+        }
+    }
+
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-        mReset = true;
         fail("connection failed: " + cause.getMessage());
     }
 
@@ -234,6 +252,10 @@
             rememberRefusal();
         }
         mResponseStarted = true;
+        mEndsWithConnection =
+                !HttpUtil.isTransferEncodingChunked(response)
+                        && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                        && !isAlwaysEmpty(response);
         mReusable = isReusable(response);
         mIdleLimitNanos = KeepAliveHeader.idleLimitNanos(response.headers());
         mListener.onHeaders(response, replicaHeaders);
@@ -300,11 +322,17 @@
         }
     }
 
+    private boolean isAlwaysEmpty(final HttpResponse response) {
+        final int status = response.status().code();
+        return mHeadRequest
+                || status == HttpResponseStatus.NO_CONTENT.code()
+                || status == HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
     private void finish() {
-        if (mReset) {
-            // A response without a length ends when the connection is closed, but not when it is
-            // reset.
-            fail("the connection was reset");
+        if (mEndsWithConnection && !mEndOfInput) {
+            // The decoder ends a response without a length whenever the channel is closed.
+            fail("the connection did not end in order");
             return;
         }
         final ExchangeListener listener = mListener;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -3,9 +3,11 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
@@ -151,6 +153,8 @@
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.SO_KEEPALIVE, true)
+                        // Reports the end of the input apart from the end of the channel.
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(
                                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
                                 KEEP_ALIVE_INTERVAL_SECONDS)
@@ -184,8 +188,9 @@
     }
 
     /**
-     * Creates a decoder that knows whether the current request is a HEAD request, whose response
-     * declares the length of a body that does not follow.
+     * Creates a decoder that tells the connection of the end of its input, before it ends a
+     * response without a length. It knows whether the current request is a HEAD request, whose
+     * response declares the length of a body that does not follow.
      */
     private static HttpResponseDecoder decoder(final UpstreamConnection connection) {
         return new HttpResponseDecoder(
@@ -194,6 +199,15 @@
             protected boolean isContentAlwaysEmpty(final HttpMessage message) {
                 return connection.isHeadRequest() || super.isContentAlwaysEmpty(message);
             }
+
+            @Override
+            public void userEventTriggered(final ChannelHandlerContext context, final Object event)
+                    throws Exception {
+                if (event instanceof ChannelInputShutdownEvent) {
+                    connection.onEndOfInput();
+                }
+                super.userEventTriggered(context, event);
+            }
         };
     }
 }
