Run placement passes in events of their own

Cause: the end of a request ran a pass over the waiting requests inside itself, and a pass that refuses a request ends it. The depth grew with the requests that were refused together until the stack of 256 KB overflowed, in the write of an answer, in a handler or in a timer. Ruled out: the freeze as such; 300 callers without it do the same.

Fix: arrivals and ends ask for a pass, one for each upstream at a time, which the event loop runs after the present event. Pipelined requests are handled in an event of their own too, since refusals on arrival nested in the same way.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -53,6 +53,7 @@
     private long mLastProgressNanos;
     private boolean mHasReceivedBytes;
     private boolean mClosing;
+    private boolean mPipelinedScheduled;
 
     CallerConnection(final RelayServer server) {
         mServer = server;
@@ -121,7 +122,10 @@
 
     /** Closes the connection if it is idle; called during shutdown. */
     void closeIfIdle() {
-        if (mCurrentRequest == null && mIncomingRequest == null && !mHasReceivedBytes) {
+        if (mCurrentRequest == null
+                && mIncomingRequest == null
+                && !mHasReceivedBytes
+                && mPipelined.isEmpty()) {
             mChannel.close();
         }
     }
@@ -181,11 +185,15 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        onError(cause);
+    }
+
+    private void onError(final Throwable cause) {
         // A reset by the caller is normal; any other error ends only this connection.
         if (!(cause instanceof IOException)) {
             mServer.onUnexpectedError(cause);
         }
-        context.close();
+        mChannel.close();
     }
 
     @Override
@@ -196,7 +204,7 @@
             if (mPipelined.size() >= MAXIMUM_PIPELINED_OBJECTS) {
                 mChannel.close();
             }
-        } else if (mCurrentRequest != null) {
+        } else if (mCurrentRequest != null || mPipelinedScheduled) {
             mPipelined.add(object);
         } else {
             handle(object);
@@ -310,8 +318,25 @@
             return;
         }
         mChannel.writeAndFlush(last);
-        while (mCurrentRequest == null && !mPipelined.isEmpty()) {
-            handle(mPipelined.poll());
+        if (!mPipelined.isEmpty() && !mPipelinedScheduled) {
+            mPipelinedScheduled = true;
+            mChannel.eventLoop().execute(this::handlePipelined);
+        }
+    }
+
+    /**
+     * Handles pipelined requests in an event of their own, since a request that is refused at once
+     * leads to the next one.
+     */
+    private void handlePipelined() {
+        try {
+            while (mCurrentRequest == null && !mPipelined.isEmpty()) {
+                handle(mPipelined.poll());
+            }
+        } catch (final RuntimeException | Error e) {
+            onError(e);
+        } finally {
+            mPipelinedScheduled = false;
         }
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -148,6 +148,7 @@
                         new UpstreamConnectionPool(mGroup.next(), dialect, time),
                         budget,
                         new FleetQuota(settings.quotaTolerance()),
+                        mGroup.next(),
                         seed);
         mServer = new RelayServer(dialect, time, log, mService::limits, mService::bufferedBytes);
         mDirectory = new DirectoryState(format, mService, log);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -12,9 +12,11 @@
 import io.persimmonreel.core.ratelimit.RateLimitedWait;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaRegistry;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Executor;
 
 /** Queues requests and sends each to a replica or refuses it. All methods run on the event loop. */
 final class RelayScheduler {
@@ -52,6 +54,8 @@
     private final ShutdownAdmission mShutdownAdmission = new ShutdownAdmission();
     private final SpareCapacity mSpareCapacity = new SpareCapacity();
     private final RequestQueue mQueue = new RequestQueue();
+    private final Executor mEventLoop;
+    private final Set<String> mPendingPasses = new LinkedHashSet<>();
 
     /** The requests that wait for a rate limit, counted in each pass over an upstream's queue. */
     private int mRateLimited;
@@ -66,8 +70,13 @@
      */
     record Shutdown(long balancersReactedNanos, long processEndNanos) {}
 
-    RelayScheduler(final RelayService service, final RelayLog log, final long seed) {
+    RelayScheduler(
+            final RelayService service,
+            final RelayLog log,
+            final Executor eventLoop,
+            final long seed) {
         mService = service;
+        mEventLoop = eventLoop;
         mLog = log;
         mReplicas = service.replicas();
         mQuarantine = service.quarantine();
@@ -99,10 +108,10 @@
                         mService.nowNanos());
     }
 
-    /** Queues a request, and sends it at once if a replica has room. */
+    /** Queues a request and requests a pass, which sends it if a replica has room. */
     void submit(final RelayCall call) {
         mQueue.add(call);
-        place(call.task().upstream());
+        requestPass(call.task().upstream());
     }
 
     void remove(final RelayCall call) {
@@ -114,9 +123,25 @@
         mQueue.upstreams().forEach(upstream -> place(upstream, MAXIMUM_UNPLACED_PER_TIMER));
     }
 
-    /** Tries to place the waiting requests of an upstream, in order. */
-    void place(final String upstream) {
-        place(upstream, MAXIMUM_UNPLACED_PER_PASS);
+    /**
+     * Requests a pass that tries to place the waiting requests of an upstream, in order. It runs
+     * after the present event, since a pass ends requests and the end of a request needs a pass.
+     */
+    void requestPass(final String upstream) {
+        if (mQueue.isEmpty(upstream)) {
+            return;
+        }
+        final boolean isScheduled = !mPendingPasses.isEmpty();
+        mPendingPasses.add(upstream);
+        if (!isScheduled) {
+            mEventLoop.execute(this::runPendingPasses);
+        }
+    }
+
+    private void runPendingPasses() {
+        final List<String> upstreams = List.copyOf(mPendingPasses);
+        mPendingPasses.clear();
+        upstreams.forEach(upstream -> place(upstream, MAXIMUM_UNPLACED_PER_PASS));
     }
 
     private void place(final String upstream, final int maximumUnplaced) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Executor;
 
 /**
  * Manages relayed requests from acceptance to completion and decides whether they are sent again.
@@ -83,6 +84,7 @@
             final UpstreamConnectionPool connections,
             final RetryBudget budget,
             final FleetQuota quota,
+            final Executor eventLoop,
             final long seed) {
         mTime = time;
         mLog = log;
@@ -96,7 +98,7 @@
         mResolver = new RequestResolver(quota, mOutputLengths, this::hasRoom, seed);
         mRateLimits = new ReplicaRateLimits(mReplicas, log);
         mNotices = new FleetNotices(mQuarantine, mRateLimits);
-        mScheduler = new RelayScheduler(this, log, seed + 1);
+        mScheduler = new RelayScheduler(this, log, eventLoop, seed + 1);
     }
 
     long nowNanos() {
@@ -408,7 +410,7 @@
         if (!call.mayHaveRun()) {
             mQuota.refund(call.task().customerName(), call.task().units(), nowNanos());
         }
-        mScheduler.place(call.task().upstream());
+        mScheduler.requestPass(call.task().upstream());
     }
 
     private boolean hasRoom(final String upstream) {
