Bind each response to its request and end a call once

Cause: a response was written to a connection, for whatever request was current there. A call that had ended in a pass of the timer could be failed once more, and it ended only after its response was written.

Fix: a connection writes a response only for the current request and logs any other one. RelayCall ends once, before anything else, and is out of the queue then. A failed write closes the connection. CallerResponse, ErrorResponder and ActiveCalls are moved out of RelayCall and RelayService, which had reached the maximum file length.

CallerConnectionTest covers the binding; it doesn't compile against the old methods, which name no request.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -60,13 +61,22 @@
     }
 
     /**
-     * Writes a complete response to the current request.
+     * Writes a complete response.
      *
+     * @param request the request, which must be the current one
      * @param status the status
      * @param headers the end-to-end headers
      * @param body the body, whose ownership passes to this connection
      */
-    void respond(final HttpResponseStatus status, final HttpHeaders headers, final ByteBuf body) {
+    void respond(
+            final CallerRequest request,
+            final HttpResponseStatus status,
+            final HttpHeaders headers,
+            final ByteBuf body) {
+        if (!isCurrent(request)) {
+            body.release();
+            return;
+        }
         final boolean keepAlive = isKeptAlive();
         final FullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
@@ -82,10 +92,17 @@
     /**
      * Starts a streamed response.
      *
+     * @param request the request, which must be the current one
      * @param status the status
      * @param headers the end-to-end headers
      */
-    void startStream(final HttpResponseStatus status, final HttpHeaders headers) {
+    void startStream(
+            final CallerRequest request,
+            final HttpResponseStatus status,
+            final HttpHeaders headers) {
+        if (!isCurrent(request)) {
+            return;
+        }
         final HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         response.headers().set(headers);
         response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
@@ -94,30 +111,61 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             mClosing = true;
         }
-        mChannel.writeAndFlush(response);
+        write(response);
     }
 
     /**
      * Writes bytes of a streamed response.
      *
+     * @param request the request, which must be the current one
      * @param bytes the bytes, whose ownership passes to this connection
      */
-    void stream(final ByteBuf bytes) {
-        mChannel.writeAndFlush(new DefaultHttpContent(bytes));
+    void stream(final CallerRequest request, final ByteBuf bytes) {
+        if (!isCurrent(request)) {
+            bytes.release();
+            return;
+        }
+        write(new DefaultHttpContent(bytes));
+    }
+
+    /**
+     * Ends a streamed response that is complete.
+     *
+     * @param request the request, which must be the current one
+     */
+    void endStream(final CallerRequest request) {
+        if (isCurrent(request)) {
+            finish(LastHttpContent.EMPTY_LAST_CONTENT, !mClosing);
+        }
     }
 
-    /** Ends a streamed response that is complete. */
-    void endStream() {
-        finish(LastHttpContent.EMPTY_LAST_CONTENT, !mClosing);
+    /**
+     * Closes the connection without ending the response, so that the caller sees it as incomplete.
+     *
+     * @param request the request, which must be the current one
+     */
+    void abort(final CallerRequest request) {
+        if (isCurrent(request)) {
+            mCurrentRequest = null;
+            mChannel.close();
+        }
     }
 
     /**
-     * Closes the connection without ending the streamed response, so that the caller sees it as
-     * incomplete.
+     * Returns whether a request waits for its response. Writing a response to another one would
+     * hand it to the wrong request.
      */
-    void abort() {
-        mCurrentRequest = null;
-        mChannel.close();
+    private boolean isCurrent(final CallerRequest request) {
+        if (mCurrentRequest == request) {
+            return true;
+        }
+        mServer.onStrayResponse(request);
+        return false;
+    }
+
+    /** Writes a part of a response; if that fails, the connection is closed. */
+    private ChannelFuture write(final HttpObject part) {
+        return mChannel.writeAndFlush(part).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     /** Closes the connection if it is idle; called during shutdown. */
@@ -317,7 +365,7 @@
             mChannel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        mChannel.writeAndFlush(last);
+        write(last);
         if (!mPipelined.isEmpty() && !mPipelinedScheduled) {
             mPipelinedScheduled = true;
             mChannel.eventLoop().execute(this::handlePipelined);
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerResponse.java
@@ -0,0 +1,95 @@
+package io.persimmonreel.daemon.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/**
+ * Writes the response to one request. Once the caller is gone, nothing is written any more. Not
+ * thread safe.
+ */
+final class CallerResponse {
+    private final CallerRequest mRequest;
+    private boolean mStarted;
+    private boolean mCallerGone;
+
+    CallerResponse(final CallerRequest request) {
+        mRequest = request;
+    }
+
+    /** Returns whether the head of a streamed response was written. */
+    boolean isStarted() {
+        return mStarted;
+    }
+
+    boolean isCallerGone() {
+        return mCallerGone;
+    }
+
+    void onCallerGone() {
+        mCallerGone = true;
+    }
+
+    /**
+     * Writes a whole response.
+     *
+     * @param status the status
+     * @param replicaResponse the response whose end-to-end headers are forwarded
+     * @param body the body, whose ownership passes to this object
+     */
+    void forward(
+            final HttpResponseStatus status,
+            final HttpResponse replicaResponse,
+            final ByteBuf body) {
+        if (mCallerGone) {
+            body.release();
+            return;
+        }
+        mRequest.connection()
+                .respond(mRequest, status, EndToEndHeaders.copy(replicaResponse.headers()), body);
+    }
+
+    /**
+     * Writes the head of a streamed response, unless it was written before.
+     *
+     * @param replicaResponse the response whose status and end-to-end headers are forwarded
+     */
+    void start(final HttpResponse replicaResponse) {
+        if (mStarted || mCallerGone) {
+            return;
+        }
+        mStarted = true;
+        mRequest.connection()
+                .startStream(
+                        mRequest,
+                        replicaResponse.status(),
+                        EndToEndHeaders.copy(replicaResponse.headers()));
+    }
+
+    /**
+     * Writes bytes of a streamed response.
+     *
+     * @param bytes the bytes, whose ownership passes to this object
+     */
+    void stream(final ByteBuf bytes) {
+        if (mCallerGone) {
+            bytes.release();
+        } else {
+            mRequest.connection().stream(mRequest, bytes);
+        }
+    }
+
+    /** Ends a streamed response that is complete. */
+    void end() {
+        if (!mCallerGone) {
+            mRequest.connection().endStream(mRequest);
+        }
+    }
+
+    /** Closes the caller's connection, so that the response is seen as incomplete. */
+    void abort() {
+        if (!mCallerGone) {
+            mRequest.connection().abort(mRequest);
+        }
+    }
+}
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -29,19 +28,18 @@
 
     private final RelayTask mTask;
     private final CallerRequest mRequest;
+    private final CallerResponse mCallerResponse;
     private final RelayService mService;
     private final Set<String> mExcludedReplicas = new HashSet<>();
     private final ExecutionRecord mExecution = new ExecutionRecord();
     private Phase mPhase = Phase.WAITING;
     private int mCountedDispatches;
     private int mDispatchCount;
-    private boolean mCallerGone;
     private Dispatch mDispatch;
     private UpstreamConnection mConnection;
     private HttpResponse mResponse;
     private ByteBuf mBufferedBody = Unpooled.EMPTY_BUFFER;
     private EventSplitter mSplitter;
-    private boolean mResponseStarted;
 
     /** Lists the phases of a call. */
     enum Phase {
@@ -70,6 +68,7 @@
     RelayCall(final RelayTask task, final RelayService service) {
         mTask = task;
         mRequest = task.request();
+        mCallerResponse = new CallerResponse(mRequest);
         mService = service;
     }
 
@@ -99,6 +98,11 @@
         return mDispatch;
     }
 
+    /** Returns whether the call has ended; it then has no further effect. */
+    boolean isDone() {
+        return mPhase == Phase.DONE;
+    }
+
     /** Returns whether a replica works on the request. */
     boolean isAtReplica() {
         return mPhase != Phase.WAITING && mPhase != Phase.CONNECTING && mPhase != Phase.DONE;
@@ -133,7 +137,7 @@
     }
 
     boolean hasResponseStarted() {
-        return mResponseStarted;
+        return mCallerResponse.isStarted();
     }
 
     /** Sends the request to the chosen replica. */
@@ -164,7 +168,10 @@
      * runs to its end if it must not run twice and is no stream.
      */
     void onCallerGone() {
-        mCallerGone = true;
+        if (isDone()) {
+            return;
+        }
+        mCallerResponse.onCallerGone();
         final boolean continuesWithoutCaller =
                 !mTask.route().resendRule().allowsResend()
                         && !mTask.route().resendRule().isStream()
@@ -172,8 +179,7 @@
                         && mPhase != Phase.CONNECTING;
         if (!continuesWithoutCaller) {
             mService.onCancelled(this);
-            cancelExchange();
-            done();
+            end();
         }
     }
 
@@ -202,19 +208,18 @@
             final HttpResponseStatus ifMayHaveRun,
             final String reason,
             final long retryAfterMillis) {
-        cancelExchange();
-        if (!mCallerGone) {
-            if (mResponseStarted) {
-                mRequest.connection().abort();
-            } else {
-                mService.respond(
-                        mRequest,
-                        failureStatus(ifMayHaveRun),
-                        reason,
-                        mayHaveRun() ? 0 : retryAfterMillis);
-            }
-        }
-        done();
+        end(
+                () -> {
+                    if (mCallerResponse.isStarted()) {
+                        mCallerResponse.abort();
+                    } else if (!mCallerResponse.isCallerGone()) {
+                        mService.respond(
+                                mRequest,
+                                failureStatus(ifMayHaveRun),
+                                reason,
+                                mayHaveRun() ? 0 : retryAfterMillis);
+                    }
+                });
     }
 
     @Override
@@ -239,7 +244,7 @@
             if (mSplitter == null) {
                 mSplitter = new EventSplitter(mRequest.callerHeaders().resumeAfter());
             }
-        } else if (mResponseStarted) {
+        } else if (mCallerResponse.isStarted()) {
             onFailed("the replica did not continue the stream");
         } else {
             mPhase = Phase.ANSWERING;
@@ -252,7 +257,7 @@
         if (mPhase == Phase.STREAMING) {
             onEvents(bytes);
         } else if (mPhase == Phase.PASSING) {
-            mRequest.connection().stream(Unpooled.copiedBuffer(bytes));
+            mCallerResponse.stream(Unpooled.copiedBuffer(bytes));
         } else if (mPhase == Phase.ANSWERING) {
             bufferBody(bytes);
         }
@@ -269,8 +274,7 @@
             }
         } else if (mPhase == Phase.PASSING) {
             succeed();
-            mRequest.connection().endStream();
-            done();
+            end(mCallerResponse::end);
         } else if (mPhase == Phase.ANSWERING) {
             onFullResponse();
         }
@@ -278,19 +282,17 @@
 
     @Override
     public void onFailed(final String reason) {
-        final UpstreamConnection connection = mConnection;
-        mConnection = null;
-        if (connection != null) {
-            connection.cancel();
+        if (isDone()) {
+            return;
         }
-        releaseDispatch();
+        cancelExchange();
         mService.onExchangeFailed(this, reason);
         mExcludedReplicas.add(replica().entry().id());
-        if (mCallerGone) {
-            done();
+        if (mCallerResponse.isCallerGone()) {
+            end();
         } else if (mService.tryReserveResend(this, false)) {
             mPhase = Phase.WAITING;
-            mService.resend(this, mResponseStarted ? "resume" : "broken", reason);
+            mService.resend(this, mCallerResponse.isStarted() ? "resume" : "broken", reason);
         } else {
             mService.fail(this, HttpResponseStatus.BAD_GATEWAY, reason);
         }
@@ -342,8 +344,8 @@
             mCountedDispatches--;
         }
         mService.onReplicaRefused(this, status);
-        if (mCallerGone) {
-            done();
+        if (mCallerResponse.isCallerGone()) {
+            end();
         } else if (mService.tryReserveResend(this, true)) {
             mPhase = Phase.WAITING;
             mService.resend(this, "not-run", "the replica answered " + status.code());
@@ -377,27 +379,14 @@
         if (mSplitter.eventCount() > eventsBefore && mDispatch.onEvent(mService.nowNanos())) {
             mService.onFirstEvent(this);
         }
-        if (mCallerGone) {
-            completeEvents.release();
-            return;
-        }
-        if (!mResponseStarted) {
-            mResponseStarted = true;
-            mRequest.connection().startStream(mResponse.status(), endToEnd(mResponse.headers()));
-        }
-        mRequest.connection().stream(completeEvents);
+        mCallerResponse.start(mResponse);
+        mCallerResponse.stream(completeEvents);
     }
 
     private void onStreamEnd() {
-        if (!mResponseStarted && !mCallerGone) {
-            mResponseStarted = true;
-            mRequest.connection().startStream(mResponse.status(), endToEnd(mResponse.headers()));
-        }
+        mCallerResponse.start(mResponse);
         succeed();
-        if (!mCallerGone) {
-            mRequest.connection().endStream();
-        }
-        done();
+        end(mCallerResponse::end);
     }
 
     private void succeed() {
@@ -412,11 +401,11 @@
             mBufferedBody = Unpooled.buffer(bytes.readableBytes());
         }
         mBufferedBody.writeBytes(bytes);
-        if (mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES && !mCallerGone) {
+        if (mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES
+                && !mCallerResponse.isCallerGone()) {
             mPhase = Phase.PASSING;
-            mResponseStarted = true;
-            mRequest.connection().startStream(mResponse.status(), endToEnd(mResponse.headers()));
-            mRequest.connection().stream(mBufferedBody);
+            mCallerResponse.start(mResponse);
+            mCallerResponse.stream(mBufferedBody);
             mBufferedBody = Unpooled.EMPTY_BUFFER;
         }
     }
@@ -434,8 +423,8 @@
     private void onErrorResponse(final HttpResponseStatus status) {
         releaseDispatch();
         mService.onReplicaError(this, status);
-        if (mCallerGone) {
-            done();
+        if (mCallerResponse.isCallerGone()) {
+            end();
         } else if (mTask.route().resendRule().allowsResend()
                 && mService.tryReserveResend(this, false)) {
             mExcludedReplicas.add(replica().entry().id());
@@ -459,14 +448,8 @@
     }
 
     private void forward(final HttpResponseStatus status) {
-        if (!mCallerGone) {
-            mRequest.connection().respond(status, endToEnd(mResponse.headers()), mBufferedBody);
-        }
-        done();
-    }
-
-    private static HttpHeaders endToEnd(final HttpHeaders headers) {
-        return EndToEndHeaders.copy(headers);
+        final ByteBuf body = mBufferedBody;
+        end(() -> mCallerResponse.forward(status, mResponse, body));
     }
 
     private void cancelExchange() {
@@ -484,11 +467,28 @@
         }
     }
 
-    private void done() {
-        if (mPhase != Phase.DONE) {
-            mPhase = Phase.DONE;
+    /** Ends the call without a response, since the caller is gone. */
+    private void end() {
+        end(() -> {});
+    }
+
+    /**
+     * Ends the call. The transition happens once and before anything else, so that no event that
+     * follows from it finds the call in progress.
+     *
+     * @param completeResponse completes the response to the caller
+     */
+    private void end(final Runnable completeResponse) {
+        if (isDone()) {
+            return;
+        }
+        mPhase = Phase.DONE;
+        try {
+            cancelExchange();
             mService.onDone(this);
             mRequest.releaseBody();
+        } finally {
+            completeResponse.run();
         }
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -261,7 +261,6 @@
 
     private void onQuarantined(final RelayCall call, final ContentQuarantine.Refusal refusal) {
         if (call.mayHaveRun() || call.hasResponseStarted()) {
-            mQueue.remove(call);
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, refusal.reason());
         } else {
             mLog.refusedWhileQueued(call, refusal.reason(), null, refusal.retryAfterMillis());
@@ -286,7 +285,6 @@
         }
         final String reason = "the replicas limit the rate of requests";
         if (wasSent) {
-            mQueue.remove(call);
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, reason);
             return true;
         }
@@ -298,7 +296,6 @@
 
     private boolean onNoReplica(final RelayCall call, final long now) {
         if (call.mayHaveRun() || call.hasResponseStarted()) {
-            mQueue.remove(call);
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, "no other replica is left");
             return true;
         }
@@ -316,7 +313,6 @@
     }
 
     private void refuse(final RelayCall call, final String reason, final long retryAfterMillis) {
-        mQueue.remove(call);
         call.fail(HttpResponseStatus.BAD_GATEWAY, reason, retryAfterMillis);
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
@@ -146,6 +146,13 @@
         mLog.event("caller", "error").put("error", String.valueOf(cause)).write();
     }
 
+    /** Logs a response whose request has ended already; it is not written. */
+    void onStrayResponse(final CallerRequest request) {
+        mLog.event("caller", "stray-response")
+                .put("id", request.callerHeaders().attemptId())
+                .write();
+    }
+
     void onRefused(
             final CallerRequest request, final HttpResponseStatus status, final String reason) {
         mLog.event("request", "refused")
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -1,10 +1,5 @@
 package io.persimmonreel.daemon.relay;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
@@ -19,12 +14,8 @@
 import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.directory.DirectoryListener;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -55,7 +46,7 @@
 
     private final TimeSource mTime;
     private final RelayLog mLog;
-    private final RelayDialect mDialect;
+    private final ErrorResponder mErrorResponder;
     private final UpstreamRequestBuilder mRequestBuilder;
     private final UpstreamConnectionPool mConnections;
     private final ReplicaRegistry mReplicas = new ReplicaRegistry();
@@ -69,13 +60,11 @@
     private final ReplicaRateLimits mRateLimits;
     private final FleetNotices mNotices;
     private final RelayScheduler mScheduler;
-    private final Set<RelayCall> mActive = new LinkedHashSet<>();
+    private final ActiveCalls mCalls = new ActiveCalls();
     private final PreConfigurationQueue mPreConfigurationQueue = new PreConfigurationQueue();
     private Map<String, Long> mPendingQuotaLevels = Map.of();
-    private final Map<CallerRequest, RelayCall> mCallsByRequest = new HashMap<>();
     private final RequestResolver mResolver;
     private volatile RelayConfiguration mConfiguration;
-    private long mBufferedBytes;
 
     RelayService(
             final TimeSource time,
@@ -88,7 +77,7 @@
             final long seed) {
         mTime = time;
         mLog = log;
-        mDialect = dialect;
+        mErrorResponder = new ErrorResponder(dialect);
         mRequestBuilder = new UpstreamRequestBuilder(dialect);
         mConnections = connections;
         mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
@@ -139,11 +128,11 @@
 
     /** Returns whether no request needs the timer. */
     boolean isIdle() {
-        return mActive.isEmpty() && mPreConfigurationQueue.isEmpty();
+        return mCalls.isEmpty() && mPreConfigurationQueue.isEmpty();
     }
 
     int active() {
-        return mActive.size();
+        return mCalls.size();
     }
 
     int waiting() {
@@ -151,7 +140,7 @@
     }
 
     long bufferedBytes() {
-        return mBufferedBytes;
+        return mCalls.bodyBytes();
     }
 
     CallerLimits limits() {
@@ -221,16 +210,15 @@
     @Override
     public void onCallerGone(final CallerRequest request) {
         mPreConfigurationQueue.remove(request);
-        final RelayCall call = mCallsByRequest.get(request);
+        final RelayCall call = mCalls.find(request);
         if (call != null) {
-            mScheduler.remove(call);
             call.onCallerGone();
         }
     }
 
     @Override
     public void onCallerWritable(final CallerRequest request, final boolean writable) {
-        final RelayCall call = mCallsByRequest.get(request);
+        final RelayCall call = mCalls.find(request);
         if (call != null) {
             call.onCallerWritable(writable);
         }
@@ -240,9 +228,13 @@
      * Places waiting requests and ends those whose deadline has passed or whose replica stalled.
      */
     void onTimer(final long nowNanos) {
-        for (final RelayCall call : List.copyOf(mActive)) {
+        for (final RelayCall call : mCalls.snapshot()) {
+            // The end of one call may end others.
+            if (call.isDone()) {
+                continue;
+            }
             if (call.task().millisLeft(nowNanos) <= DEADLINE_MARGIN_MILLIS) {
-                onDeadlineReached(call);
+                fail(call, HttpResponseStatus.GATEWAY_TIMEOUT, "the time is over");
             } else {
                 checkStall(call, nowNanos);
             }
@@ -255,25 +247,16 @@
                     NO_CONFIGURATION_RETRY_AFTER_MILLIS,
                     Optional.empty());
         }
-        mCrashDetector.onTimer(this::hasOlderRequest, nowNanos, this::onCrash);
+        mCrashDetector.onTimer(mCalls::hasOlderAt, nowNanos, this::onCrash);
         mScheduler.placeAll();
     }
 
-    private boolean hasOlderRequest(final Replica replica, final long beforeNanos) {
-        return mActive.stream()
-                .anyMatch(
-                        call ->
-                                call.replica() == replica
-                                        && call.isAtReplica()
-                                        && call.dispatch().sentNanos() - beforeNanos < 0);
-    }
-
     private void onCrash(
             final Replica replica,
             final Collection<BrokenExchange> exchanges,
             final long crashNanos) {
         mLog.crashed(replica, exchanges.size());
-        mQuarantine.onCrash(replica, exchanges, mActive, crashNanos, nowNanos());
+        mQuarantine.onCrash(replica, exchanges, mCalls.all(), crashNanos, nowNanos());
     }
 
     /** Accepts from now on only requests that can be served before the process ends. */
@@ -283,8 +266,7 @@
 
     /** Fails all remaining requests because the process has to end. */
     void abortAll() {
-        for (final RelayCall call : List.copyOf(mActive)) {
-            mScheduler.remove(call);
+        for (final RelayCall call : mCalls.snapshot()) {
             fail(call, HttpResponseStatus.BAD_GATEWAY, "the daemon ends");
         }
     }
@@ -295,13 +277,7 @@
             final HttpResponseStatus status,
             final String reason,
             final long retryAfterMillis) {
-        final HttpHeaders headers = new DefaultHttpHeaders(false);
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-        if (retryAfterMillis > 0) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, mDialect.retryAfter(retryAfterMillis));
-        }
-        final ByteBuf body = Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8);
-        request.connection().respond(status, headers, body);
+        mErrorResponder.respond(request, status, reason, retryAfterMillis);
     }
 
     /**
@@ -399,14 +375,16 @@
      * @param reason the reason, one short sentence
      */
     void fail(final RelayCall call, final HttpResponseStatus ifMayHaveRun, final String reason) {
+        if (call.isDone()) {
+            return;
+        }
         mLog.failed(call, call.failureStatus(ifMayHaveRun), reason, nowNanos());
         call.fail(ifMayHaveRun, reason, mScheduler.retryAfterMillis(call));
     }
 
     void onDone(final RelayCall call) {
-        mActive.remove(call);
-        mCallsByRequest.remove(call.task().request());
-        mBufferedBytes -= call.task().request().body().readableBytes();
+        mScheduler.remove(call);
+        mCalls.remove(call);
         if (!call.mayHaveRun()) {
             mQuota.refund(call.task().customerName(), call.task().units(), nowNanos());
         }
@@ -430,9 +408,7 @@
                     Optional.empty());
             return;
         }
-        mActive.add(call);
-        mCallsByRequest.put(task.request(), call);
-        mBufferedBytes += task.request().body().readableBytes();
+        mCalls.add(call);
         mBudget.onRequest(task.upstream());
         mScheduler.submit(call);
     }
@@ -453,11 +429,6 @@
         respond(request, status, reason, retryAfterMillis);
     }
 
-    private void onDeadlineReached(final RelayCall call) {
-        mScheduler.remove(call);
-        fail(call, HttpResponseStatus.GATEWAY_TIMEOUT, "the time is over");
-    }
-
     private void checkStall(final RelayCall call, final long now) {
         final RelayCall.Phase phase = call.phase();
         if (phase != RelayCall.Phase.SENT && phase != RelayCall.Phase.STREAMING) {
--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/CallerConnectionTest.java
@@ -0,0 +1,148 @@
+package io.persimmonreel.daemon.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.persimmonreel.core.route.CallerLimits;
+import io.persimmonreel.daemon.log.EventLog;
+import io.persimmonreel.daemon.time.SystemTimeSource;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CallerConnectionTest {
+    private static final int WAIT_MILLIS = 5_000;
+
+    private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
+    private final BlockingQueue<CallerRequest> mRequests = new LinkedBlockingQueue<>();
+    private final ByteArrayOutputStream mLog = new ByteArrayOutputStream();
+    private Socket mSocket;
+
+    @BeforeEach
+    void connect() throws Exception {
+        final SystemTimeSource time = new SystemTimeSource();
+        final RelayServer server =
+                new RelayServer(
+                        new NativeDialect(),
+                        time,
+                        new EventLog("test", time, new PrintStream(mLog, true)),
+                        () -> CallerLimits.STANDARD,
+                        () -> 0);
+        final InetSocketAddress address =
+                server.bind(
+                        mGroup,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        new RecordingListener());
+        mSocket = new Socket(address.getAddress(), address.getPort());
+        mSocket.setSoTimeout(WAIT_MILLIS);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        mSocket.close();
+        mGroup.shutdownGracefully(0, WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private final class RecordingListener implements CallerListener {
+        @Override
+        public void onRequest(final CallerRequest request) {
+            mRequests.add(request);
+        }
+
+        @Override
+        public void onCallerGone(final CallerRequest request) {}
+
+        @Override
+        public void onCallerWritable(final CallerRequest request, final boolean writable) {}
+    }
+
+    private CallerRequest receive(final String attempt) throws Exception {
+        mSocket.getOutputStream()
+                .write(
+                        ("GET / HTTP/1.1\r\nHost: a\r\nPersimmonreel-Attempt: "
+                                        + attempt
+                                        + "\r\n\r\n")
+                                .getBytes(StandardCharsets.US_ASCII));
+        return mRequests.poll(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void runOnEventLoop(final Runnable task) throws Exception {
+        mGroup.next().submit(task).get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void respond(final CallerRequest request, final String body) throws Exception {
+        runOnEventLoop(
+                () ->
+                        request.connection()
+                                .respond(
+                                        request,
+                                        HttpResponseStatus.OK,
+                                        new DefaultHttpHeaders(),
+                                        Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII)));
+    }
+
+    private CallerRequest secondRequestAfterResponse() throws Exception {
+        final CallerRequest first = receive("a1");
+        respond(first, "one!");
+        RelayFixture.readUntil(mSocket, "one!");
+        final CallerRequest second = receive("a2");
+        assertThat(second.connection()).isSameAs(first.connection());
+        return second;
+    }
+
+    private CallerRequest earlier(final CallerRequest request) {
+        return new CallerRequest(
+                request.request(), request.callerHeaders(), request.connection(), 0);
+    }
+
+    /** Guards against an answer that goes to the next request on a kept connection. */
+    @Nested
+    class TheResponseToARequestThatEnded {
+        @Test
+        void isNotWritten() throws Exception {
+            final CallerRequest second = secondRequestAfterResponse();
+            respond(earlier(second), "wrong!");
+            respond(second, "two!");
+            assertThat(RelayFixture.readUntil(mSocket, "two!")).doesNotContain("wrong!");
+            RelayFixture.await(() -> mLog.toString().contains("\"event\":\"stray-response\""));
+        }
+
+        @Test
+        void isNotStreamed() throws Exception {
+            final CallerRequest second = secondRequestAfterResponse();
+            final CallerRequest ended = earlier(second);
+            runOnEventLoop(
+                    () -> {
+                        final CallerConnection connection = ended.connection();
+                        connection.startStream(
+                                ended, HttpResponseStatus.OK, new DefaultHttpHeaders());
+                        connection.stream(ended, Unpooled.copiedBuffer(new byte[1]));
+                        connection.endStream(ended);
+                    });
+            respond(second, "two!");
+            assertThat(RelayFixture.readUntil(mSocket, "two!")).doesNotContain("chunked");
+        }
+
+        @Test
+        void doesNotEndTheConnectionOfTheNextRequest() throws Exception {
+            final CallerRequest second = secondRequestAfterResponse();
+            final CallerRequest ended = earlier(second);
+            runOnEventLoop(() -> ended.connection().abort(ended));
+            respond(second, "two!");
+            assertThat(RelayFixture.readUntil(mSocket, "two!")).startsWith("HTTP/1.1 200");
+        }
+    }
+}
