Confine an unexpected error to the request in which it occurs

Cause: ScheduledTimerService expected RuntimeException only, so an Error ended a schedule for good. Within a pass of the timer, a pass of placement or the arrival of a configuration, an exception at one request kept the others behind it from being looked at; in the listener of a connection or at the end of a response it left its own request without an end.

Fix: schedules go on after any Throwable of a listener. Each step of a call is confined to that call, which then ends with 503 if it was not sent and else 502, or with a closed connection if the response fails as well. An OutOfMemoryError is treated alike.

Before, on: ScheduledTimerServiceTest failed in both cases, UnexpectedErrorTest for an error before the send, which ended only at its deadline of 3 s. After: these, OverloadTest and the tests of the relay pass.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -155,14 +153,21 @@
                         (connection, failure) -> {
                             if (mPhase != Phase.CONNECTING || mDispatchCount != dispatchNumber) {
                                 closeUnused(connection);
-                            } else if (connection == null) {
-                                onUnreachable(failure);
                             } else {
-                                write(connection);
+                                mService.runFor(
+                                        this, "dispatch", () -> onConnection(connection, failure));
                             }
                         });
     }
 
+    private void onConnection(final UpstreamConnection connection, final String failure) {
+        if (connection == null) {
+            onUnreachable(failure);
+        } else {
+            write(connection);
+        }
+    }
+
     /**
      * Ends the call because the caller closed its connection. A request that was already sent still
      * runs to its end if it must not run twice and is no stream.
@@ -230,16 +235,15 @@
 
     @Override
     public void onHeaders(final HttpResponse response, final ReplicaHeaders replicaHeaders) {
-        mService.onReplicaHeaders(mDispatch, replicaHeaders);
+        mService.replicaObserver().onHeaders(mDispatch, replicaHeaders);
         mResponse = response;
-        final boolean misdirected =
-                response.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+        final boolean misdirected = ReplicaResponses.isMisdirected(response.status());
         if (misdirected || replicaHeaders.notRun()) {
             mPhase = Phase.ANSWERING;
             onNotRun(misdirected, response.status());
             return;
         }
-        if (isEventStream(response)) {
+        if (mTask.route().resendRule().isStream() && ReplicaResponses.isEventStream(response)) {
             mPhase = Phase.STREAMING;
             if (mSplitter == null) {
                 mSplitter = new EventSplitter(mRequest.callerHeaders().resumeAfter());
@@ -286,7 +290,7 @@
             return;
         }
         cancelExchange();
-        mService.onExchangeFailed(this, reason);
+        mService.replicaObserver().onExchangeFailed(this, reason);
         mExcludedReplicas.add(replica().entry().id());
         if (mCallerResponse.isCallerGone()) {
             end();
@@ -323,7 +327,7 @@
     private void onUnreachable(final String reason) {
         releaseDispatch();
         mExcludedReplicas.add(replica().entry().id());
-        mService.onReplicaUnreachable(this, reason);
+        mService.replicaObserver().onUnreachable(this, reason);
         mPhase = Phase.WAITING;
         mService.resend(this, "unreachable", reason);
     }
@@ -343,7 +347,7 @@
         if (misdirected) {
             mCountedDispatches--;
         }
-        mService.onReplicaRefused(this, status);
+        mService.replicaObserver().onRefused(this, status);
         if (mCallerResponse.isCallerGone()) {
             end();
         } else if (mService.tryReserveResend(this, true)) {
@@ -355,14 +359,6 @@
         }
     }
 
-    private boolean isEventStream(final HttpResponse response) {
-        final String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
-        return mTask.route().resendRule().isStream()
-                && response.status().codeClass() == HttpStatusClass.SUCCESS
-                && type != null
-                && type.startsWith(HttpHeaderValues.TEXT_EVENT_STREAM.toString());
-    }
-
     private void onEvents(final ByteBuf bytes) {
         final int eventsBefore = mSplitter.eventCount();
         final ByteBuf completeEvents;
@@ -422,7 +418,7 @@
 
     private void onErrorResponse(final HttpResponseStatus status) {
         releaseDispatch();
-        mService.onReplicaError(this, status);
+        mService.replicaObserver().onError(this, status);
         if (mCallerResponse.isCallerGone()) {
             end();
         } else if (mTask.route().resendRule().allowsResend()
@@ -430,7 +426,7 @@
             mExcludedReplicas.add(replica().entry().id());
             mPhase = Phase.WAITING;
             mService.resend(this, "error", "the replica answered " + status.code());
-        } else if (impliesNotRun(status)) {
+        } else if (ReplicaResponses.impliesNotRun(status)) {
             mService.fail(
                     this,
                     HttpResponseStatus.BAD_GATEWAY,
@@ -442,11 +438,6 @@
         }
     }
 
-    /** Returns whether callers take a status to mean that the request did not run. */
-    private static boolean impliesNotRun(final HttpResponseStatus status) {
-        return status.code() == 503 || status.code() == 429 || status.code() == 408;
-    }
-
     private void forward(final HttpResponseStatus status) {
         final ByteBuf body = mBufferedBody;
         end(() -> mCallerResponse.forward(status, mResponse, body));
@@ -488,7 +479,17 @@
             mService.onDone(this);
             mRequest.releaseBody();
         } finally {
-            completeResponse.run();
+            try {
+                completeResponse.run();
+            } catch (final RuntimeException | Error e) {
+                abortResponse();
+                mService.endAfterError(this, "response", e);
+            }
         }
     }
+
+    /** Closes the caller's connection, so that the caller does not wait for a response. */
+    void abortResponse() {
+        mCallerResponse.abort();
+    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -178,6 +178,21 @@
                 .write();
     }
 
+    /** Logs an unexpected exception or error, which ends one step of the relay. */
+    void unexpectedError(final String step, final String requestId, final Throwable error) {
+        mLog.event("relay", "error")
+                .put("step", step)
+                .put("id", requestId)
+                .put("error", String.valueOf(error))
+                .put("at", origin(error))
+                .write();
+    }
+
+    private static String origin(final Throwable error) {
+        final StackTraceElement[] trace = error.getStackTrace();
+        return trace.length == 0 ? null : trace[0].toString();
+    }
+
     void crashed(final Replica replica, final int requests) {
         mLog.event("replica", "crashed")
                 .put("replica", replica.entry().id())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -153,7 +153,7 @@
         mRateLimited = 0;
         for (int i = 0; i < calls.size() && unplaced < maximumUnplaced; i++) {
             final RelayCall call = calls.get(i);
-            if (call.phase() == RelayCall.Phase.WAITING && !place(call)) {
+            if (call.phase() == RelayCall.Phase.WAITING && !placeIsolated(call)) {
                 unplaced++;
             }
         }
@@ -172,6 +172,16 @@
         return mAdmission.retryAfterMillis(millisLeft);
     }
 
+    /** Places a request; if that fails unexpectedly, it ends this request only. */
+    private boolean placeIsolated(final RelayCall call) {
+        try {
+            return place(call);
+        } catch (final RuntimeException | Error e) {
+            mService.endAfterError(call, "placement", e);
+            return true;
+        }
+    }
+
     /** Sends or refuses a request; returns false if it continues to wait. */
     private boolean place(final RelayCall call) {
         final long now = mService.nowNanos();
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 
 /**
  * Manages relayed requests from acceptance to completion and decides whether they are sent again.
@@ -53,12 +54,12 @@
     private final StallRule mStallRule = new StallRule();
     private final FleetQuota mQuota;
     private final RetryBudget mBudget;
-    private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
     private final ContentQuarantine mQuarantine;
     private final ConfigurationMonitor mConfigurationMonitor = new ConfigurationMonitor();
     private final OutputLengthEstimator mOutputLengths = new OutputLengthEstimator();
     private final ReplicaRateLimits mRateLimits;
     private final FleetNotices mNotices;
+    private final ReplicaObserver mReplicaObserver;
     private final RelayScheduler mScheduler;
     private final ActiveCalls mCalls = new ActiveCalls();
     private final PreConfigurationQueue mPreConfigurationQueue = new PreConfigurationQueue();
@@ -80,13 +81,14 @@
         mErrorResponder = new ErrorResponder(dialect);
         mRequestBuilder = new UpstreamRequestBuilder(dialect);
         mConnections = connections;
-        mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
         mQuarantine = new ContentQuarantine(log, seed + 2);
         mBudget = budget;
         mQuota = quota;
         mResolver = new RequestResolver(quota, mOutputLengths, this::hasRoom, seed);
         mRateLimits = new ReplicaRateLimits(mReplicas, log);
         mNotices = new FleetNotices(mQuarantine, mRateLimits);
+        mReplicaObserver =
+                new ReplicaObserver(time, log, mCalls, mQuarantine, mRateLimits, connections);
         mScheduler = new RelayScheduler(this, log, eventLoop, seed + 1);
     }
 
@@ -114,6 +116,10 @@
         return mRateLimits;
     }
 
+    ReplicaObserver replicaObserver() {
+        return mReplicaObserver;
+    }
+
     FleetNotices notices() {
         return mNotices;
     }
@@ -159,7 +165,7 @@
         mQuota.configure(configuration.customers(), nowNanos());
         mQuota.onLevels(mPendingQuotaLevels);
         mPendingQuotaLevels = Map.of();
-        mPreConfigurationQueue.takeAll().forEach(this::onRequest);
+        runForEach(mPreConfigurationQueue.takeAll(), this::onRequest);
     }
 
     /** Sets this daemon's shares of the replicas' slots and of their rate limits. */
@@ -229,34 +235,68 @@
      */
     void onTimer(final long nowNanos) {
         for (final RelayCall call : mCalls.snapshot()) {
-            // The end of one call may end others.
-            if (call.isDone()) {
-                continue;
-            }
-            if (call.task().millisLeft(nowNanos) <= DEADLINE_MARGIN_MILLIS) {
-                fail(call, HttpResponseStatus.GATEWAY_TIMEOUT, "the time is over");
-            } else {
-                checkStall(call, nowNanos);
-            }
-        }
-        for (final CallerRequest request : mPreConfigurationQueue.takeOverdue(nowNanos)) {
-            refuse(
-                    request,
-                    HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    "no configuration is known",
-                    NO_CONFIGURATION_RETRY_AFTER_MILLIS,
-                    Optional.empty());
+            runFor(call, "timer", () -> checkTime(call, nowNanos));
         }
-        mCrashDetector.onTimer(mCalls::hasOlderAt, nowNanos, this::onCrash);
+        runForEach(
+                mPreConfigurationQueue.takeOverdue(nowNanos),
+                request ->
+                        refuse(
+                                request,
+                                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                "no configuration is known",
+                                NO_CONFIGURATION_RETRY_AFTER_MILLIS,
+                                Optional.empty()));
         mScheduler.placeAll();
+        mReplicaObserver.onTimer(nowNanos);
     }
 
-    private void onCrash(
-            final Replica replica,
-            final Collection<BrokenExchange> exchanges,
-            final long crashNanos) {
-        mLog.crashed(replica, exchanges.size());
-        mQuarantine.onCrash(replica, exchanges, mCalls.all(), crashNanos, nowNanos());
+    /**
+     * Runs a step of one call that has not ended. If the step fails unexpectedly, it ends that call
+     * only.
+     */
+    void runFor(final RelayCall call, final String step, final Runnable task) {
+        if (call.isDone()) {
+            return;
+        }
+        try {
+            task.run();
+        } catch (final RuntimeException | Error e) {
+            endAfterError(call, step, e);
+        }
+    }
+
+    /** Ends a call after an unexpected exception or error; never throws an exception itself. */
+    void endAfterError(final RelayCall call, final String step, final Throwable error) {
+        try {
+            mLog.unexpectedError(step, call.task().id(), error);
+            call.fail(HttpResponseStatus.BAD_GATEWAY, "unexpected error", 0);
+        } catch (final RuntimeException | Error e) {
+            call.abortResponse();
+        }
+    }
+
+    /**
+     * Runs a step for each of several requests that are no calls yet. If the step fails for one, it
+     * ends that request only.
+     */
+    private void runForEach(
+            final Collection<CallerRequest> requests, final Consumer<CallerRequest> step) {
+        for (final CallerRequest request : requests) {
+            try {
+                step.accept(request);
+            } catch (final RuntimeException | Error e) {
+                mLog.unexpectedError("arrival", request.callerHeaders().attemptId(), e);
+                request.connection().abort(request);
+            }
+        }
+    }
+
+    private void checkTime(final RelayCall call, final long nowNanos) {
+        if (call.task().millisLeft(nowNanos) <= DEADLINE_MARGIN_MILLIS) {
+            fail(call, HttpResponseStatus.GATEWAY_TIMEOUT, "the time is over");
+        } else {
+            checkStall(call, nowNanos);
+        }
     }
 
     /** Accepts from now on only requests that can be served before the process ends. */
@@ -267,7 +307,10 @@
     /** Fails all remaining requests because the process has to end. */
     void abortAll() {
         for (final RelayCall call : mCalls.snapshot()) {
-            fail(call, HttpResponseStatus.BAD_GATEWAY, "the daemon ends");
+            runFor(
+                    call,
+                    "stop",
+                    () -> fail(call, HttpResponseStatus.BAD_GATEWAY, "the daemon ends"));
         }
     }
 
@@ -298,45 +341,6 @@
         mScheduler.submit(call);
     }
 
-    /** Applies what a replica says of itself in a response. */
-    void onReplicaHeaders(final Dispatch dispatch, final ReplicaHeaders headers) {
-        if (headers.load() >= 0) {
-            dispatch.replica().onStatedLoad(headers.load(), nowNanos());
-        }
-        mRateLimits.onResponse(dispatch, headers.rateLimit(), nowNanos());
-    }
-
-    void onReplicaUnreachable(final RelayCall call, final String reason) {
-        final Replica replica = call.replica();
-        if (replica.health().onUnreachable(nowNanos())) {
-            mLog.avoided(replica, "unreachable: " + reason);
-        }
-    }
-
-    void onExchangeFailed(final RelayCall call, final String reason) {
-        final Replica replica = call.replica();
-        if (replica.health().onFailure(nowNanos())) {
-            mLog.avoided(replica, reason);
-        }
-        mCrashDetector.onBroken(replica, ContentQuarantine.brokenExchange(call), nowNanos());
-    }
-
-    void onReplicaError(final RelayCall call, final HttpResponseStatus status) {
-        if (call.replica().health().onErrorResponse(nowNanos())) {
-            mLog.avoided(call.replica(), "answers " + status.code());
-        }
-    }
-
-    void onReplicaRefused(final RelayCall call, final HttpResponseStatus status) {
-        if (status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-            call.replica().health().onUnreachable(nowNanos());
-            mLog.avoided(call.replica(), "another replica now uses its address");
-        } else if (call.replica().load(nowNanos()) < call.replica().entry().slots()) {
-            // A replica that refuses a request although it has free slots counts as faulty.
-            onReplicaError(call, status);
-        }
-    }
-
     void onFirstEvent(final RelayCall call) {
         final long now = nowNanos();
         final Dispatch dispatch = call.dispatch();
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
@@ -0,0 +1,83 @@
+package io.persimmonreel.daemon.relay;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.time.TimeSource;
+import java.util.Collection;
+
+/** Learns the state of replicas from the exchanges with them. Not thread safe. */
+final class ReplicaObserver {
+    private final TimeSource mTime;
+    private final RelayLog mLog;
+    private final ActiveCalls mCalls;
+    private final ContentQuarantine mQuarantine;
+    private final ReplicaRateLimits mRateLimits;
+    private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
+
+    ReplicaObserver(
+            final TimeSource time,
+            final RelayLog log,
+            final ActiveCalls calls,
+            final ContentQuarantine quarantine,
+            final ReplicaRateLimits rateLimits,
+            final UpstreamConnectionPool connections) {
+        mTime = time;
+        mLog = log;
+        mCalls = calls;
+        mQuarantine = quarantine;
+        mRateLimits = rateLimits;
+        mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
+    }
+
+    /** Applies what a replica says of itself in a response. */
+    void onHeaders(final Dispatch dispatch, final ReplicaHeaders headers) {
+        if (headers.load() >= 0) {
+            dispatch.replica().onStatedLoad(headers.load(), mTime.monotonicNanos());
+        }
+        mRateLimits.onResponse(dispatch, headers.rateLimit(), mTime.monotonicNanos());
+    }
+
+    void onUnreachable(final RelayCall call, final String reason) {
+        if (call.replica().health().onUnreachable(mTime.monotonicNanos())) {
+            mLog.avoided(call.replica(), "unreachable: " + reason);
+        }
+    }
+
+    void onExchangeFailed(final RelayCall call, final String reason) {
+        final long now = mTime.monotonicNanos();
+        if (call.replica().health().onFailure(now)) {
+            mLog.avoided(call.replica(), reason);
+        }
+        mCrashDetector.onBroken(call.replica(), ContentQuarantine.brokenExchange(call), now);
+    }
+
+    void onError(final RelayCall call, final HttpResponseStatus status) {
+        if (call.replica().health().onErrorResponse(mTime.monotonicNanos())) {
+            mLog.avoided(call.replica(), "answers " + status.code());
+        }
+    }
+
+    void onRefused(final RelayCall call, final HttpResponseStatus status) {
+        final long now = mTime.monotonicNanos();
+        if (ReplicaResponses.isMisdirected(status)) {
+            call.replica().health().onUnreachable(now);
+            mLog.avoided(call.replica(), "another replica now uses its address");
+        } else if (call.replica().load(now) < call.replica().entry().slots()) {
+            // A replica that refuses a request although it has free slots counts as faulty.
+            onError(call, status);
+        }
+    }
+
+    /** Looks for replicas all of whose exchanges broke at once. */
+    void onTimer(final long nowNanos) {
+        mCrashDetector.onTimer(mCalls::hasOlderAt, nowNanos, this::onCrash);
+    }
+
+    private void onCrash(
+            final Replica replica,
+            final Collection<BrokenExchange> exchanges,
+            final long crashNanos) {
+        mLog.crashed(replica, exchanges.size());
+        mQuarantine.onCrash(replica, exchanges, mCalls.all(), crashNanos, mTime.monotonicNanos());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaResponses.java
@@ -0,0 +1,32 @@
+package io.persimmonreel.daemon.relay;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+
+/** Classifies the responses of replicas. */
+final class ReplicaResponses {
+    private ReplicaResponses() {}
+
+    /** Returns whether a response is a successful stream of events. */
+    static boolean isEventStream(final HttpResponse response) {
+        final String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
+        return response.status().codeClass() == HttpStatusClass.SUCCESS
+                && type != null
+                && type.startsWith(HttpHeaderValues.TEXT_EVENT_STREAM.toString());
+    }
+
+    /** Returns whether a status means that the request was sent to the wrong replica. */
+    static boolean isMisdirected(final HttpResponseStatus status) {
+        return status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    }
+
+    /** Returns whether callers take a status to mean that the request did not run. */
+    static boolean impliesNotRun(final HttpResponseStatus status) {
+        return status.code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+                || status.code() == HttpResponseStatus.TOO_MANY_REQUESTS.code()
+                || status.code() == HttpResponseStatus.REQUEST_TIMEOUT.code();
+    }
+}
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -346,7 +346,11 @@
         } else {
             close();
         }
-        listener.onEnd();
+        try {
+            listener.onEnd();
+        } catch (final RuntimeException | Error e) {
+            listener.onFailed("unexpected error: " + e);
+        }
     }
 
     private void fail(final String reason) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/time/ScheduledTimerService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/time/ScheduledTimerService.java
@@ -16,8 +16,8 @@
 /**
  * Calls timer listeners on a thread pool or an event loop.
  *
- * <p>If a listener throws, the exception is logged and the listener stays subscribed. Instances are
- * thread safe.
+ * <p>If a listener throws an exception or an error, it is logged and the listener stays subscribed.
+ * Instances are thread safe.
  */
 public final class ScheduledTimerService implements TimerService, AutoCloseable {
     private static final Logger LOG = System.getLogger(ScheduledTimerService.class.getName());
@@ -97,8 +97,12 @@
         final long now = mTime.monotonicNanos();
         mExecutor.schedule(
                 () -> {
-                    if (!cancelled.get()) {
+                    if (cancelled.get()) {
+                        return;
+                    }
+                    try {
                         notifyListener(name, listener);
+                    } finally {
                         scheduleAtMultiple(name, intervalNanos, listener, cancelled);
                     }
                 },
@@ -128,8 +132,17 @@
     private void notifyListener(final String name, final TimerListener listener) {
         try {
             listener.onTimer(mTime.monotonicNanos());
-        } catch (final RuntimeException e) {
-            LOG.log(Level.ERROR, "timer: Listener " + name + " failed.", e);
+        } catch (final RuntimeException | Error e) {
+            logFailure(name, e);
+        }
+    }
+
+    /** Logs a failure; an error such as exhausted memory may also end the logging. */
+    private static void logFailure(final String name, final Throwable failure) {
+        try {
+            LOG.log(Level.ERROR, "timer: Listener " + name + " failed.", failure);
+        } catch (final RuntimeException | Error e) {
+            return;
         }
     }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -63,6 +63,15 @@
 
     RelayFixture(final int replicas, final Duration grace, final RelayConfiguration configuration)
             throws Exception {
+        this(replicas, grace, configuration, new NativeDialect());
+    }
+
+    RelayFixture(
+            final int replicas,
+            final Duration grace,
+            final RelayConfiguration configuration,
+            final RelayDialect dialect)
+            throws Exception {
         mConfiguration = configuration;
         mDocuments.add(document("config", ""));
         for (int i = 0; i < replicas; i++) {
@@ -76,7 +85,7 @@
                 new RelayDaemon(
                         mSettings,
                         new FleetSecret(SECRET.getBytes(StandardCharsets.UTF_8)),
-                        new NativeDialect(),
+                        dialect,
                         new MemoryFormat(),
                         (loop, address, responseTimeout) -> new MemorySource(),
                         time,
