Reject an odd replica entry without losing the others

Operators of similar systems saw an odd entry end the machines that read the list, or keep them from following it.

Cause: DirectoryState expected DirectoryException only. Anything else that the decoder throws lost the whole batch, again and again. No entry that does so was found: deep nesting, huge numbers and ports out of range were rejected one by one before.

Fix: a decoder that fails in another way makes that entry unreadable.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -221,11 +221,18 @@
             logReplica(previous == null ? "added" : "changed", entry);
             return true;
         } catch (final DirectoryException e) {
-            mLog.event("directory", "entry-unreadable").put("error", e.getMessage()).write();
-            return remove(name, "unreadable");
+            return onUnreadable(name, e.getMessage());
+        } catch (final RuntimeException | StackOverflowError e) {
+            // The entry of another writer must not hide the others.
+            return onUnreadable(name, name + ": " + e);
         }
     }
 
+    private boolean onUnreadable(final String name, final String error) {
+        mLog.event("directory", "entry-unreadable").put("error", error).write();
+        return remove(name, "unreadable");
+    }
+
     private boolean remove(final String name, final String reason) {
         mContents.remove(name);
         mAbsentSince.remove(name);
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
@@ -70,6 +70,12 @@
         public ReplicaEntry readReplica(final String name, final byte[] content)
                 throws DirectoryException {
             final String text = new String(content, StandardCharsets.UTF_8);
+            if (text.equals("deep")) {
+                throw new StackOverflowError("expected in this test");
+            }
+            if (text.equals("odd")) {
+                throw new IllegalArgumentException("expected in this test");
+            }
             if (!text.equals("ready") && !text.equals("draining")) {
                 throw new DirectoryException(
                         Step.CONFIGURE, name, "must be ready or draining", null);
@@ -211,4 +217,24 @@
             assertThat(mRecorder.mReplicas).containsExactly("r1+");
         }
     }
+
+    @Nested
+    class EntriesOfOtherWriters {
+        /** Guards against one odd entry that keeps the directory from being followed. */
+        @Test
+        void doNotHideTheOthers() {
+            applySnapshot(
+                    1,
+                    false,
+                    document("r1", "deep"),
+                    document("r2", "ready"),
+                    document("r3", "odd"),
+                    document("r4", "ready"),
+                    document("config", "7"));
+            assertThat(mRecorder.mReplicas).containsExactly("r2+", "r4+");
+            assertThat(mRecorder.mVersions).containsExactly(7L);
+            mState.applyChanges(2, List.of(document("r2", "deep"), document("r5", "ready")));
+            assertThat(mRecorder.mReplicas).containsExactly("r4+", "r5+");
+        }
+    }
 }
