Bound what is read of a response that is not used

Operators of similar systems saw bytes without end exhaust the memory.

Cause: after a refusal the relay read the rest of the response for as long as bytes came, and kept the connection for as long as none came. The response to a request whose caller had left was buffered until the deadline without a bound.

Fix: an ignored rest may take 1 MiB and 2 s, after which the connection is closed. A response without a caller is dropped as it comes.

Before, on: EndlessResponseTest$InTheBodyOfARefusal failed in both cases (64 MB were read; open after 20 s). After: all tests of the relay pass.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -393,12 +393,14 @@
     }
 
     private void bufferBody(final ByteBuf bytes) {
+        if (mCallerResponse.isCallerGone()) {
+            return;
+        }
         if (mBufferedBody == Unpooled.EMPTY_BUFFER) {
             mBufferedBody = Unpooled.buffer(bytes.readableBytes());
         }
         mBufferedBody.writeBytes(bytes);
-        if (mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES
-                && !mCallerResponse.isCallerGone()) {
+        if (mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES) {
             mPhase = Phase.PASSING;
             mCallerResponse.start(mResponse);
             mCallerResponse.stream(mBufferedBody);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -20,6 +20,7 @@
 import io.persimmonreel.core.replica.Replica;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Handles one connection to a replica, on which one exchange runs at a time.
@@ -36,9 +37,12 @@
      */
     private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
 
-    /** The maximum size of the bodies of these responses in bytes. */
+    /** The maximum size of the bodies of these responses, or of an ignored one, in bytes. */
     private static final int MAXIMUM_SKIPPED_BYTES = 1 << 20;
 
+    /** The maximum time until the end of an ignored response. */
+    private static final long MAXIMUM_IGNORED_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private static final ExchangeListener IGNORING_LISTENER =
             new ExchangeListener() {
                 @Override
@@ -75,6 +79,8 @@
     private int mSkippedResponses;
     private int mSkippedBytes;
     private boolean mReusable;
+    private int mIgnoredBytes;
+    private long mIgnoredSinceNanos;
     private boolean mUsedBefore;
     private boolean mEndOfInput;
     private boolean mEndsWithConnection;
@@ -161,10 +167,23 @@
 
     /**
      * Ignores the rest of the response, after which the connection returns to the pool if it is
-     * reusable.
+     * reusable. The connection is closed if the rest is too long or doesn't end in time.
      */
     void ignoreRest() {
         mListener = IGNORING_LISTENER;
+        mIgnoredBytes = 0;
+        mIgnoredSinceNanos = mPool.nowNanos();
+        mPool.onIgnoring(this);
+    }
+
+    /** Returns whether the connection ignores a response that should have ended by now. */
+    boolean isIgnoringTooLong(final long nowNanos) {
+        return mListener == IGNORING_LISTENER
+                && nowNanos - mIgnoredSinceNanos >= MAXIMUM_IGNORED_NANOS;
+    }
+
+    boolean isIgnoring() {
+        return mListener == IGNORING_LISTENER;
     }
 
     /** Ends the exchange and closes the connection, which makes the replica stop the work. */
@@ -314,6 +333,13 @@
             return;
         }
         final ByteBuf bytes = content.content();
+        if (isIgnoring()) {
+            mIgnoredBytes += bytes.readableBytes();
+            if (mIgnoredBytes > MAXIMUM_SKIPPED_BYTES) {
+                fail("the rest of a response that was not used is too long");
+                return;
+            }
+        }
         if (bytes.isReadable()) {
             mListener.onBody(bytes);
         }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -20,8 +20,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import jdk.net.ExtendedSocketOptions;
 
@@ -54,6 +56,7 @@
     private final RelayDialect mDialect;
     private final TimeSource mTime;
     private final Map<Replica, Deque<UpstreamConnection>> mIdle = new HashMap<>();
+    private final Set<UpstreamConnection> mIgnoring = new HashSet<>();
     private long mOpenedCount;
 
     UpstreamConnectionPool(
@@ -113,6 +116,7 @@
     }
 
     void onClosed(final UpstreamConnection connection) {
+        mIgnoring.remove(connection);
         final Deque<UpstreamConnection> idle = mIdle.get(connection.replica());
         if (idle != null && idle.remove(connection) && idle.isEmpty()) {
             mIdle.remove(connection.replica());
@@ -128,10 +132,17 @@
         return idle != null && idle.stream().anyMatch(UpstreamConnection::isOpen);
     }
 
-    /** Closes the connections that exceeded their idle limit. */
+    /** Watches a connection that ignores the rest of a response. */
+    void onIgnoring(final UpstreamConnection connection) {
+        mIgnoring.add(connection);
+    }
+
+    /** Closes the connections that exceeded their idle limit or ignore a response for too long. */
     void closeExpired() {
         final long now = nowNanos();
         final List<UpstreamConnection> expired = new ArrayList<>();
+        mIgnoring.removeIf(connection -> !connection.isIgnoring());
+        mIgnoring.stream().filter(c -> c.isIgnoringTooLong(now)).forEach(expired::add);
         for (final Deque<UpstreamConnection> idle : mIdle.values()) {
             for (final UpstreamConnection connection : idle) {
                 if (now - connection.idleSinceNanos() >= connection.idleLimitNanos()) {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/EndlessResponseTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/EndlessResponseTest.java
@@ -110,6 +110,36 @@
         }
     }
 
+    /** Guards against a refused request whose connection is read for as long as bytes come. */
+    @Nested
+    class InTheBodyOfARefusal {
+        private static final String REFUSAL =
+                "HTTP/1.1 503 Full\r\nPersimmonreel-Attempt: a1\r\nPersimmonreel-Not-Run: 1\r\n"
+                        + "Content-Length: 1000000000\r\n\r\n";
+
+        @Test
+        void bytesHaveABound() throws Exception {
+            assertThat(response("/charge/1", REFUSAL, "x")).startsWith("HTTP/1.1 503");
+        }
+
+        @Test
+        void timeHasABound() throws Exception {
+            try (RelayFixture relay = new RelayFixture(1)) {
+                final CompletableFuture<Boolean> closed = new CompletableFuture<>();
+                relay.replica(0)
+                        .addScript(
+                                e -> {
+                                    e.write(REFUSAL);
+                                    e.awaitClose();
+                                    closed.complete(true);
+                                });
+                assertThat(relay.request("POST", "/charge/1", ATTEMPT_HEADER, "x"))
+                        .startsWith("HTTP/1.1 503");
+                assertThat(closed.get(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+            }
+        }
+    }
+
     @Nested
     class InAStream {
         @Test
