Count a connection as idle only when its response was sent

Cause: a connection was idle once the last bytes were queued, and closing it drops what is queued.

Fix: it is idle when the write of the last part is done. While bytes leave the queue the idle time-out starts anew, so that only a caller that reads nothing for that time is disconnected.

Before: with the check taken out, two tests of CallerConnectionTest$AResponseThatIsNotSentYet fail. After: they pass.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -55,6 +56,8 @@
     private boolean mHasReceivedBytes;
     private boolean mClosing;
     private boolean mPipelinedScheduled;
+    private ChannelFuture mLastResponse;
+    private long mUnsentBytes;
 
     CallerConnection(final RelayServer server) {
         mServer = server;
@@ -173,7 +176,8 @@
         if (mCurrentRequest == null
                 && mIncomingRequest == null
                 && !mHasReceivedBytes
-                && mPipelined.isEmpty()) {
+                && mPipelined.isEmpty()
+                && isResponseSent()) {
             mChannel.close();
         }
     }
@@ -183,6 +187,9 @@
         if (mCurrentRequest != null) {
             return;
         }
+        if (!isResponseSent()) {
+            checkSendProgress(nowNanos);
+        }
         final long age = TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastProgressNanos);
         if (mIncomingRequest != null) {
             if (age > limits.idleMillis()) {
@@ -197,6 +204,21 @@
         }
     }
 
+    /** Returns whether no part of the last response is queued for the caller. */
+    private boolean isResponseSent() {
+        return mLastResponse == null || mLastResponse.isDone();
+    }
+
+    /** Takes bytes that left the queue since the last check as progress. */
+    private void checkSendProgress(final long nowNanos) {
+        final ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
+        final long unsentBytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        if (unsentBytes != mUnsentBytes) {
+            mUnsentBytes = unsentBytes;
+            mLastProgressNanos = nowNanos;
+        }
+    }
+
     /** Records that bytes arrived, which may not form a complete message yet. */
     void onBytesReceived() {
         if (!mHasReceivedBytes && mIncomingRequest == null && mCurrentRequest == null) {
@@ -365,7 +387,7 @@
             mChannel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        write(last);
+        mLastResponse = write(last);
         if (!mPipelined.isEmpty() && !mPipelinedScheduled) {
             mPipelinedScheduled = true;
             mChannel.eventLoop().execute(this::handlePipelined);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/CallerConnectionTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/CallerConnectionTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -145,4 +146,45 @@
             assertThat(RelayFixture.readUntil(mSocket, "two!")).startsWith("HTTP/1.1 200");
         }
     }
+
+    /** Guards against a response whose end is queued and dropped with an idle connection. */
+    @Nested
+    class AResponseThatIsNotSentYet {
+        /** More than the socket buffers hold. */
+        private static final int LONG_BYTES = 32 << 20;
+
+        private void assertKeeps(final Consumer<CallerConnection> check) throws Exception {
+            final CallerRequest request = receive("a1");
+            respond(request, "x".repeat(LONG_BYTES) + "end");
+            runOnEventLoop(() -> check.accept(request.connection()));
+            assertThat(mSocket.getInputStream().readNBytes(LONG_BYTES)).hasSize(LONG_BYTES);
+            assertThat(RelayFixture.readUntil(mSocket, "end")).endsWith("xend");
+        }
+
+        @Test
+        void isNotCutOffByAPlannedStop() throws Exception {
+            assertKeeps(CallerConnection::closeIfIdle);
+        }
+
+        @Test
+        void isNotCutOffByTheIdleTimeout() throws Exception {
+            final long later = System.nanoTime() + TimeUnit.MINUTES.toNanos(10);
+            assertKeeps(connection -> connection.closeIfTimedOut(CallerLimits.STANDARD, later));
+        }
+
+        /** A caller that reads nothing for so long doesn't keep its connection. */
+        @Test
+        void endsWithTheIdleTimeoutIfTheCallerStopsReading() throws Exception {
+            final CallerRequest request = receive("a1");
+            respond(request, "x".repeat(LONG_BYTES));
+            final long once = System.nanoTime() + TimeUnit.MINUTES.toNanos(10);
+            final long twice = once + TimeUnit.MINUTES.toNanos(10);
+            runOnEventLoop(
+                    () -> {
+                        request.connection().closeIfTimedOut(CallerLimits.STANDARD, once);
+                        request.connection().closeIfTimedOut(CallerLimits.STANDARD, twice);
+                    });
+            assertThat(mSocket.getInputStream().readAllBytes().length).isLessThan(LONG_BYTES);
+        }
+    }
 }
