Refuse transfer codings that the relay can't frame

Cause: RequestValidator accepted any Transfer-Encoding. The codec frames a body only if the coding is chunked, and took the body for the next request.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestValidator.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestValidator.java
@@ -1,6 +1,7 @@
 package io.persimmonreel.daemon.relay;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -31,6 +32,12 @@
         if (headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).size() > 1) {
             return new RelayRefusal(HttpResponseStatus.BAD_REQUEST, "the length is ambiguous");
         }
+        final String coding = headers.get(HttpHeaderNames.TRANSFER_ENCODING);
+        if (coding != null && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding.trim())) {
+            // The codec would take the body for the next request.
+            return new RelayRefusal(
+                    HttpResponseStatus.NOT_IMPLEMENTED, "the transfer coding is not supported");
+        }
         if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
             return new RelayRefusal(
                     HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
@@ -364,6 +364,30 @@
             }
         }
 
+        /** Guards against a request inside the body of another one that is run. */
+        @Test
+        void refusesTransferCodingsWhoseBodyItCannotFrame() throws Exception {
+            for (final String coding : new String[] {"gzip", "identity", "gzip, chunked"}) {
+                try (RelayFixture relay = new RelayFixture(1);
+                        Socket socket = relay.connect()) {
+                    final String inner =
+                            "POST /charge/2 HTTP/1.1\r\nHost: acme.example\r\n"
+                                    + "Authorization: Bearer "
+                                    + RelayFixture.KEY
+                                    + "\r\nContent-Length: 0\r\n\r\n";
+                    RelayFixture.send(
+                            socket,
+                            "POST",
+                            "/charge/1",
+                            ATTEMPT_HEADER + "Transfer-Encoding: " + coding + "\r\n",
+                            "");
+                    socket.getOutputStream().write(inner.getBytes());
+                    assertThat(RelayFixture.readUntil(socket, "\r\n")).contains("501");
+                    assertThat(runCount(relay, 1)).isZero();
+                }
+            }
+        }
+
         /**
          * A body with both chunked encoding and a Content-Length is forwarded with one length only;
          * otherwise a second request could be smuggled inside the body.
