Refuse targets with bytes that HTTP doesn't allow

Cause: the codec reads such a byte as one character and writes it as two bytes of UTF-8.

Fix: a target with other than visible ASCII characters is refused with 400 (RFC 9112, 3.2). Percent-encoded targets pass unchanged.

After: the new test in RelayDaemonTest passes.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestValidator.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestValidator.java
@@ -10,6 +10,8 @@
 
 /** Refuses request headers that replicas could interpret differently from this daemon. */
 final class RequestValidator {
+    private static final char DELETE = 0x7f;
+
     private RequestValidator() {}
 
     /**
@@ -24,6 +26,11 @@
         if (!request.uri().startsWith("/")) {
             return new RelayRefusal(HttpResponseStatus.BAD_REQUEST, "the target is not a path");
         }
+        // The codec would write other bytes than it has read.
+        if (!request.uri().chars().allMatch(c -> c > ' ' && c < DELETE)) {
+            return new RelayRefusal(
+                    HttpResponseStatus.BAD_REQUEST, "the target is not percent-encoded");
+        }
         if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
             return new RelayRefusal(HttpResponseStatus.BAD_REQUEST, "one Host is needed");
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
@@ -388,6 +388,19 @@
             }
         }
 
+        /** Guards against a path or query that reaches the replica changed. */
+        @Test
+        void refusesATargetThatIsNotPercentEncoded() throws Exception {
+            try (RelayFixture relay = new RelayFixture(1)) {
+                assertThat(relay.request("GET", "/lookup/\u00e4?q=\u00e4", ATTEMPT_HEADER, ""))
+                        .startsWith("HTTP/1.1 400");
+                assertThat(runCount(relay, 1)).isZero();
+                relay.replica(0).addScript(e -> respond(e, 200, "whole"));
+                assertThat(relay.request("GET", "/lookup/%C3%A4", ATTEMPT_HEADER, ""))
+                        .startsWith("HTTP/1.1 200");
+            }
+        }
+
         /**
          * A body with both chunked encoding and a Content-Length is forwarded with one length only;
          * otherwise a second request could be smuggled inside the body.
