Report the outcome of a connect that finds no descriptor

Cause: if no socket can be opened, Netty fails the connect with a channel that belongs to no event loop, on another thread. Closing that channel throws, and the callback of the directory client was not called; connections to replicas had the same pattern. Connections of callers had no bound and left no descriptor for the directory, peers and replicas.

Fix: Connector reports each outcome once, on the event loop, and closes such channels safely. Connections of callers take 0.7 of the descriptors at most: the one that was idle for longest makes room, else the newest is closed unread, after which callers may retry anything.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/HttpGetClient.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/HttpGetClient.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.persimmonreel.daemon.connect.Connector;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     private final EventLoop mLoop;
+    private final Connector mConnector;
     private final InetSocketAddress mAddress;
     private final int mMaximumBytes;
     private Channel mChannel;
@@ -73,6 +75,7 @@
     public HttpGetClient(
             final EventLoop loop, final InetSocketAddress address, final int maximumBytes) {
         mLoop = loop;
+        mConnector = new Connector(loop);
         mAddress = address;
         mMaximumBytes = maximumBytes;
     }
@@ -98,26 +101,27 @@
             write(target);
             return;
         }
-        mChannel =
+        final Bootstrap bootstrap =
                 new Bootstrap()
-                        .group(mLoop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .handler(initializer())
-                        .connect(mAddress)
-                        .addListener(
-                                done -> {
-                                    if (mCallback != callback) {
-                                        return;
-                                    }
-                                    if (done.isSuccess()) {
-                                        write(target);
-                                    } else {
-                                        fail(String.valueOf(done.cause()));
-                                    }
-                                })
-                        .channel();
+                        .handler(initializer());
+        mChannel =
+                mConnector.connect(
+                        bootstrap, mAddress, failure -> onConnected(callback, target, failure));
+    }
+
+    private void onConnected(
+            final Callback callback, final String target, final Throwable failure) {
+        if (mCallback != callback) {
+            return;
+        }
+        if (failure == null) {
+            write(target);
+        } else {
+            fail(String.valueOf(failure));
+        }
     }
 
     private ChannelInitializer<Channel> initializer() {
@@ -157,10 +161,8 @@
 
     private Callback closeCall() {
         final Callback callback = endCall();
-        if (mChannel != null) {
-            mChannel.close();
-            mChannel = null;
-        }
+        Connector.close(mChannel);
+        mChannel = null;
         return callback;
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -173,13 +173,27 @@
 
     /** Closes the connection if it is idle; called during shutdown. */
     void closeIfIdle() {
-        if (mCurrentRequest == null
+        if (isIdle()) {
+            close();
+        }
+    }
+
+    /** Returns whether no request or response is in progress. */
+    boolean isIdle() {
+        return mCurrentRequest == null
                 && mIncomingRequest == null
                 && !mHasReceivedBytes
                 && mPipelined.isEmpty()
-                && isResponseSent()) {
-            mChannel.close();
-        }
+                && isResponseSent();
+    }
+
+    /** Returns when the connection made progress last, in nanoseconds of the monotonic clock. */
+    long lastProgressNanos() {
+        return mLastProgressNanos;
+    }
+
+    void close() {
+        mChannel.close();
     }
 
     /** Ends the connection if the caller exceeds a time limit of the configuration. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
@@ -13,11 +13,14 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.persimmonreel.core.route.CallerLimits;
 import io.persimmonreel.core.time.TimeSource;
+import io.persimmonreel.daemon.connect.DescriptorLimit;
 import io.persimmonreel.daemon.log.EventLog;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -36,12 +39,19 @@
     /** Request bodies may take up to the maximum heap size divided by this number. */
     private static final int BODY_MEMORY_DIVISOR = 5;
 
+    /**
+     * Connections of callers may take up to this share of the descriptors; the others are for
+     * replicas, peers, the directory and files.
+     */
+    private static final double CALLER_DESCRIPTOR_SHARE = 0.7;
+
     private final RelayDialect mDialect;
     private final TimeSource mTime;
     private final EventLog mLog;
     private final Supplier<CallerLimits> mLimits;
     private final LongSupplier mBufferedBytes;
     private final long mMaximumBufferedBytes;
+    private final int mMaximumConnections;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private CallerListener mListener;
     private boolean mShuttingDown;
@@ -57,6 +67,7 @@
         mLog = log;
         mLimits = limits;
         mBufferedBytes = bufferedBytes;
+        mMaximumConnections = maximumConnections(DescriptorLimit.current());
         mMaximumBufferedBytes = Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR;
     }
 
@@ -136,6 +147,24 @@
 
     void onOpened(final CallerConnection connection) {
         mConnections.add(connection);
+        if (mConnections.size() > mMaximumConnections) {
+            makeRoom(connection);
+        }
+    }
+
+    /** Closes the connection that was idle for longest, or else the newest one, unread. */
+    private void makeRoom(final CallerConnection newest) {
+        mConnections.stream()
+                .filter(connection -> connection != newest && connection.isIdle())
+                .min(Comparator.comparingLong(CallerConnection::lastProgressNanos))
+                .orElse(newest)
+                .close();
+    }
+
+    static int maximumConnections(final OptionalInt descriptors) {
+        return descriptors.isPresent()
+                ? (int) (descriptors.getAsInt() * CALLER_DESCRIPTOR_SHARE)
+                : Integer.MAX_VALUE;
     }
 
     void onClosed(final CallerConnection connection) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -15,6 +14,8 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.time.TimeSource;
+import io.persimmonreel.daemon.connect.Connector;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -52,7 +53,7 @@
     private static final int MAXIMUM_HEADER_BYTES = 32 * 1024;
     private static final int MAXIMUM_CHUNK_BYTES = 16 * 1024;
 
-    private final EventLoop mLoop;
+    private final Connector mConnector;
     private final RelayDialect mDialect;
     private final TimeSource mTime;
     private final Map<Replica, Deque<UpstreamConnection>> mIdle = new HashMap<>();
@@ -61,7 +62,7 @@
 
     UpstreamConnectionPool(
             final EventLoop loop, final RelayDialect dialect, final TimeSource time) {
-        mLoop = loop;
+        mConnector = new Connector(loop);
         mDialect = dialect;
         mTime = time;
     }
@@ -157,9 +158,8 @@
             final Replica replica, final BiConsumer<UpstreamConnection, String> consumer) {
         mOpenedCount++;
         final UpstreamConnection connection = new UpstreamConnection(replica, this, mDialect);
-        final ChannelFuture connecting =
+        final Bootstrap bootstrap =
                 new Bootstrap()
-                        .group(mLoop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .option(ChannelOption.TCP_NODELAY, true)
@@ -185,15 +185,15 @@
                                                         decoder(connection),
                                                         connection);
                                     }
-                                })
-                        .connect(replica.entry().host(), replica.entry().port());
-        connecting.addListener(
-                done -> {
-                    if (done.isSuccess() && connection.isOpen()) {
+                                });
+        mConnector.connect(
+                bootstrap,
+                new InetSocketAddress(replica.entry().host(), replica.entry().port()),
+                failure -> {
+                    if (failure == null && connection.isOpen()) {
                         consumer.accept(connection, null);
                     } else {
-                        connecting.channel().close();
-                        consumer.accept(null, String.valueOf(done.cause()));
+                        consumer.accept(null, String.valueOf(failure));
                     }
                 });
     }
