Let relays of tests listen for peers on an address of their own

Cause: RelayFixture finds a free port on 127.0.0.1, releases it and binds it later; another process took it in between.

Fix: the port is looked for on a loopback address that is derived from the process id, so that no other process uses it.

--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -254,12 +254,23 @@
         }
     }
 
+    /**
+     * Returns a loopback address that no other process uses, so that a free port stays free until
+     * the relay binds it.
+     */
+    private static InetAddress ownLoopbackAddress() throws IOException {
+        final long pid = ProcessHandle.current().pid();
+        return InetAddress.getByAddress(
+                new byte[] {127, (byte) (1 + pid / 65_536), (byte) (pid / 256), (byte) pid});
+    }
+
     private static RelaySettings settings(final Duration grace) throws IOException {
         final InetSocketAddress anyPort =
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        final InetAddress ownAddress = ownLoopbackAddress();
         final InetSocketAddress peer;
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            peer = new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+        try (ServerSocket probe = new ServerSocket(0, 1, ownAddress)) {
+            peer = new InetSocketAddress(ownAddress, probe.getLocalPort());
         }
         return new RelaySettings(
                 "test",
