Count bodies that are not complete towards the memory of all bodies

Cause: RelayServer.mayBuffer counted the bodies of complete requests only.

Fix: bodies that are still arriving count as well. A part that doesn't fit is refused with 503, which other daemons can serve.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -251,7 +251,7 @@
     @Override
     public void channelInactive(final ChannelHandlerContext context) {
         mServer.onClosed(this);
-        mIncomingRequest = null;
+        endIncomingRequest();
         releasePipelined();
         final CallerRequest abandoned = mCurrentRequest;
         mCurrentRequest = null;
@@ -343,16 +343,25 @@
             return;
         }
         if (bytes.isReadable()) {
+            mServer.addIncomingBytes(bytes.readableBytes());
             mIncomingRequest.append(bytes);
             mLastProgressNanos = mServer.nowNanos();
         }
         if (content instanceof LastHttpContent) {
             mCurrentRequest = mIncomingRequest;
-            mIncomingRequest = null;
+            endIncomingRequest();
             mServer.listener().onRequest(mCurrentRequest);
         }
     }
 
+    /** Ends the arrival of a request, which is complete or dropped. */
+    private void endIncomingRequest() {
+        if (mIncomingRequest != null) {
+            mServer.addIncomingBytes(-mIncomingRequest.body().readableBytes());
+            mIncomingRequest = null;
+        }
+    }
+
     private void onMalformed(final Throwable cause) {
         if (cause instanceof TooLongHttpHeaderException) {
             refuse(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large");
@@ -369,7 +378,7 @@
      */
     private void refuse(final HttpResponseStatus status, final String reason) {
         mServer.onRefused(mIncomingRequest, status, reason);
-        mIncomingRequest = null;
+        endIncomingRequest();
         mClosing = true;
         final FullHttpResponse response =
                 new DefaultFullHttpResponse(
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
@@ -51,6 +51,7 @@
     private final Supplier<CallerLimits> mLimits;
     private final LongSupplier mBufferedBytes;
     private final long mMaximumBufferedBytes;
+    private long mIncomingBytes;
     private final int mMaximumConnections;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private CallerListener mListener;
@@ -62,13 +63,29 @@
             final EventLog log,
             final Supplier<CallerLimits> limits,
             final LongSupplier bufferedBytes) {
+        this(
+                dialect,
+                time,
+                log,
+                limits,
+                bufferedBytes,
+                Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR);
+    }
+
+    RelayServer(
+            final RelayDialect dialect,
+            final TimeSource time,
+            final EventLog log,
+            final Supplier<CallerLimits> limits,
+            final LongSupplier bufferedBytes,
+            final long maximumBufferedBytes) {
         mDialect = dialect;
         mTime = time;
         mLog = log;
         mLimits = limits;
         mBufferedBytes = bufferedBytes;
         mMaximumConnections = maximumConnections(DescriptorLimit.current());
-        mMaximumBufferedBytes = Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR;
+        mMaximumBufferedBytes = maximumBufferedBytes;
     }
 
     /** Starts listening and returns the bound address. */
@@ -116,8 +133,18 @@
         return mDialect.readRequest(request);
     }
 
+    /** Returns whether bodies, complete or not, may take more memory. */
     boolean mayBuffer(final int bytes) {
-        return mBufferedBytes.getAsLong() + bytes <= mMaximumBufferedBytes;
+        return mBufferedBytes.getAsLong() + mIncomingBytes + bytes <= mMaximumBufferedBytes;
+    }
+
+    /**
+     * Changes the size of the bodies that are not complete.
+     *
+     * @param bytes the bytes that arrived, or negative, those of a body that is complete or dropped
+     */
+    void addIncomingBytes(final int bytes) {
+        mIncomingBytes += bytes;
     }
 
     boolean isShuttingDown() {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/CallerConnectionTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/CallerConnectionTest.java
@@ -1,6 +1,7 @@
 package io.persimmonreel.daemon.relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -14,6 +15,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -26,10 +28,12 @@
 
 class CallerConnectionTest {
     private static final int WAIT_MILLIS = 5_000;
+    private static final int MAXIMUM_BODY_BYTES = 10_000;
 
     private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
     private final BlockingQueue<CallerRequest> mRequests = new LinkedBlockingQueue<>();
     private final ByteArrayOutputStream mLog = new ByteArrayOutputStream();
+    private InetSocketAddress mAddress;
     private Socket mSocket;
 
     @BeforeEach
@@ -41,14 +45,20 @@
                         time,
                         new EventLog("test", time, new PrintStream(mLog, true)),
                         () -> CallerLimits.STANDARD,
-                        () -> 0);
-        final InetSocketAddress address =
+                        () -> 0,
+                        MAXIMUM_BODY_BYTES);
+        mAddress =
                 server.bind(
                         mGroup,
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                         new RecordingListener());
-        mSocket = new Socket(address.getAddress(), address.getPort());
-        mSocket.setSoTimeout(WAIT_MILLIS);
+        mSocket = openSocket();
+    }
+
+    private Socket openSocket() throws Exception {
+        final Socket socket = new Socket(mAddress.getAddress(), mAddress.getPort());
+        socket.setSoTimeout(WAIT_MILLIS);
+        return socket;
     }
 
     @AfterEach
@@ -147,6 +157,46 @@
         }
     }
 
+    /** Guards against uploads that together exhaust the memory before one is complete. */
+    @Nested
+    class BodiesThatAreNotComplete {
+        private static final int PART_BYTES = 6_000;
+
+        private void sendPart(final Socket socket) throws Exception {
+            final String head =
+                    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + 2 * PART_BYTES + "\r\n\r\n";
+            socket.getOutputStream()
+                    .write((head + "x".repeat(PART_BYTES)).getBytes(StandardCharsets.US_ASCII));
+        }
+
+        @Test
+        void countTowardsTheMemoryOfAllBodies() throws Exception {
+            try (Socket other = openSocket()) {
+                sendPart(mSocket);
+                // The server handles the parts in the order in which they arrive.
+                TimeUnit.MILLISECONDS.sleep(100);
+                sendPart(other);
+                assertThat(RelayFixture.readUntil(other, "\r\n")).contains("503");
+            }
+            assertThat(mRequests).isEmpty();
+        }
+
+        @Test
+        void areNotCountedAnyMoreWhenTheirCallerIsGone() throws Exception {
+            for (int i = 0; i < 3; i++) {
+                try (Socket other = openSocket()) {
+                    sendPart(other);
+                    TimeUnit.MILLISECONDS.sleep(100);
+                }
+            }
+            TimeUnit.MILLISECONDS.sleep(100);
+            sendPart(mSocket);
+            mSocket.setSoTimeout(100);
+            assertThatThrownBy(() -> RelayFixture.readUntil(mSocket, "\r\n"))
+                    .isInstanceOf(SocketTimeoutException.class);
+        }
+    }
+
     /** Guards against a response whose end is queued and dropped with an idle connection. */
     @Nested
     class AResponseThatIsNotSentYet {
