--- a/core/src/main/java/io/persimmonreel/core/replica/ReplicaAvailability.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/ReplicaAvailability.java
@@ -55,6 +55,15 @@
         return true;
     }
 
+    /**
+     * Returns whether the replica has said anything about taking requests.
+     *
+     * @return true after the first statement, also if it is no longer in force
+     */
+    boolean wasStated() {
+        return mLeaving || mPushedBack;
+    }
+
     /**
      * Returns whether the replica said that it is leaving.
      *
--- a/core/src/main/java/io/persimmonreel/core/replica/ReplicaRegistry.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/ReplicaRegistry.java
@@ -99,7 +99,9 @@
             final Map<String, Replica> before, final Map<String, Replica> current) {
         before.forEach(
                 (id, replica) -> {
-                    if (current.get(id) != replica && Start.isKnown(replica.entry())) {
+                    if (current.get(id) != replica
+                            && Start.isKnown(replica.entry())
+                            && replica.availability().wasStated()) {
                         mAbsent.put(Start.of(replica.entry()), replica.availability());
                     }
                 });
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -389,7 +389,7 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-        mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        mLastResponse = mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
     private boolean isKeptAlive() {
@@ -407,7 +407,7 @@
         if (!keepAlive) {
             mClosing = true;
             releasePipelined();
-            mChannel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+            mLastResponse = mChannel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
             return;
         }
         mLastResponse = write(last);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -178,8 +178,7 @@
 
     /** Returns whether the connection ignores a response that should have ended by now. */
     boolean isIgnoringTooLong(final long nowNanos) {
-        return mListener == IGNORING_LISTENER
-                && nowNanos - mIgnoredSinceNanos >= MAXIMUM_IGNORED_NANOS;
+        return isIgnoring() && nowNanos - mIgnoredSinceNanos >= MAXIMUM_IGNORED_NANOS;
     }
 
     boolean isIgnoring() {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/CallerConnectionTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/CallerConnectionTest.java
@@ -81,11 +81,17 @@
     }
 
     private CallerRequest receive(final String attempt) throws Exception {
+        return receive(attempt, "");
+    }
+
+    private CallerRequest receive(final String attempt, final String headers) throws Exception {
         mSocket.getOutputStream()
                 .write(
                         ("GET / HTTP/1.1\r\nHost: a\r\nPersimmonreel-Attempt: "
                                         + attempt
-                                        + "\r\n\r\n")
+                                        + "\r\n"
+                                        + headers
+                                        + "\r\n")
                                 .getBytes(StandardCharsets.US_ASCII));
         return mRequests.poll(WAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -204,7 +210,12 @@
         private static final int LONG_BYTES = 32 << 20;
 
         private void assertKeeps(final Consumer<CallerConnection> check) throws Exception {
-            final CallerRequest request = receive("a1");
+            assertKeeps("", check);
+        }
+
+        private void assertKeeps(final String headers, final Consumer<CallerConnection> check)
+                throws Exception {
+            final CallerRequest request = receive("a1", headers);
             respond(request, "x".repeat(LONG_BYTES) + "end");
             runOnEventLoop(() -> check.accept(request.connection()));
             assertThat(mSocket.getInputStream().readNBytes(LONG_BYTES)).hasSize(LONG_BYTES);
@@ -216,6 +227,11 @@
             assertKeeps(CallerConnection::closeIfIdle);
         }
 
+        @Test
+        void isNotCutOffByAPlannedStopIfItEndsTheConnection() throws Exception {
+            assertKeeps("Connection: close\r\n", CallerConnection::closeIfIdle);
+        }
+
         @Test
         void isNotCutOffByTheIdleTimeout() throws Exception {
             final long later = System.nanoTime() + TimeUnit.MINUTES.toNanos(10);
