Connect anew in the test of a crashed engine's refused connections

The test expected ConnectException, but the client may take a kept connection that the crash is just closing, and then reports that it received no bytes. Connection attempts are now checked with a client that has no connection, and the kept connection must still fail. The down time is longer, so that both checks fall into it.

--- a/fakes/src/test/java/io/persimmonreel/fakes/FakeEngineTest.java
+++ b/fakes/src/test/java/io/persimmonreel/fakes/FakeEngineTest.java
@@ -129,8 +129,12 @@
             mEngine.faults().add(Fault.of(Kind.BREAK_STREAM).withAfter(1));
             assertThatThrownBy(() -> stream("c1")).isInstanceOf(IOException.class);
             final int port = mEngine.port();
-            mEngine.crash(Duration.ofMillis(300));
-            assertThatThrownBy(() -> stream("c2")).isInstanceOf(ConnectException.class);
+            mEngine.crash(Duration.ofSeconds(1));
+            // The other client may still hold a connection that the crash is closing.
+            final TestClient newClient = new TestClient(mEngine);
+            assertThatThrownBy(() -> newClient.send("POST", "/v1/streams", body("c2", PROMPT)))
+                    .isInstanceOf(ConnectException.class);
+            assertThatThrownBy(() -> stream("c3")).isInstanceOf(IOException.class);
             assertThat(retryUntilRestarted("/v1/load").statusCode()).isEqualTo(200);
             assertThat(mEngine.port()).isEqualTo(port);
             assertThat(mClient.send("POST", "/v1/streams/c1/resume", "{\"from\":0}").statusCode())
