Resume reading when a connection returns to the pool

Reading from a replica is paused while the caller's connection takes no bytes. If the response ended in the same read, the call had let go of the connection, so that nobody resumed reading: the connection went to the pool with reading off. The next request on it got no response until its time limit, and neither an end of the connection nor bytes after the response were noticed while it was idle.

Ruled out: closing the connection instead. Its response is whole, and reading while it is idle detects whatever the replica sends.

Before: both tests fail (the next response is not read; bytes on the idle connection leave it in the pool). After: both pass. The tests drive the handler and the codec of the pool in an embedded channel; for that the decoder of the pool is visible in the package. How often this happens under load was not measured.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -366,6 +366,8 @@
         // would be read as part of the next one.
         if (mReusable && mWritten) {
             mUsedBefore = true;
+            // The caller may have paused reading in the read in which the response ended.
+            setReading(true);
             mIdleSinceNanos = mPool.nowNanos();
             mPool.release(this);
         } else {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -203,7 +203,7 @@
      * response without a length. It knows whether the current request is a HEAD request, whose
      * response declares the length of a body that does not follow.
      */
-    private static HttpResponseDecoder decoder(final UpstreamConnection connection) {
+    static HttpResponseDecoder decoder(final UpstreamConnection connection) {
         return new HttpResponseDecoder(
                 MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES) {
             @Override
