Keep attempts off connections that carried them before

A late second response is told from the response to the next request by its attempt id. If the same attempt returned to the connection, its second response would have been taken for the response to the new request; only refused attempts were kept away. Now a connection remembers the last 16 attempts it carried, whatever their responses were, and the pool does not hand it out for one of them. If the memory is full, the oldest attempt is forgotten.

Ruled out: remembering successes or errors only, since a replica may follow any response with a second one, with another status too.

Before: a connection was handed out again for an attempt that had been answered with 200, 404, 500 or 504 (4 of 6 statuses fail the test, and the one with other attempts in between). After: the tests pass.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -62,10 +62,10 @@
                 public void onFailed(final String reason) {}
             };
 
-    /** The maximum number of attempts whose refusals are remembered. */
-    private static final int MAXIMUM_REFUSED_ATTEMPTS = 16;
+    /** The maximum number of attempts that are remembered; the oldest is forgotten first. */
+    private static final int MAXIMUM_REMEMBERED_ATTEMPTS = 16;
 
-    private final Deque<String> mRefusedAttempts = new ArrayDeque<>();
+    private final Deque<String> mCarriedAttempts = new ArrayDeque<>();
     private final Replica mReplica;
     private final UpstreamConnectionPool mPool;
     private final RelayDialect mDialect;
@@ -112,11 +112,11 @@
     }
 
     /**
-     * Returns whether an attempt was refused on this connection, so that a late copy of the refusal
+     * Returns whether an attempt was sent on this connection, so that a late second response to it
      * could be taken for the response to the same attempt.
      */
-    boolean hasRefused(final String attemptId) {
-        return mRefusedAttempts.contains(attemptId);
+    boolean hasCarried(final String attemptId) {
+        return mCarriedAttempts.contains(attemptId);
     }
 
     long idleSinceNanos() {
@@ -148,6 +148,7 @@
         mSkippedResponses = 0;
         mSkippedBytes = 0;
         mReusable = true;
+        rememberAttempt();
         listener.onWritten();
         mChannel.writeAndFlush(request)
                 .addListener(
@@ -266,9 +267,6 @@
             fail("the answer does not show whose it is");
             return;
         }
-        if (isRefusal(response, replicaHeaders)) {
-            rememberRefusal();
-        }
         mResponseStarted = true;
         mEndsWithConnection =
                 !HttpUtil.isTransferEncodingChunked(response)
@@ -305,11 +303,11 @@
         return replicaHeaders.notRun() || response.status().code() == MISDIRECTED_STATUS;
     }
 
-    private void rememberRefusal() {
-        if (mRefusedAttempts.size() >= MAXIMUM_REFUSED_ATTEMPTS) {
-            mRefusedAttempts.removeFirst();
+    private void rememberAttempt() {
+        if (mCarriedAttempts.size() >= MAXIMUM_REMEMBERED_ATTEMPTS) {
+            mCarriedAttempts.removeFirst();
         }
-        mRefusedAttempts.addLast(mAttemptId);
+        mCarriedAttempts.addLast(mAttemptId);
     }
 
     private static boolean isReusable(final HttpResponse response) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -77,7 +77,7 @@
     }
 
     /**
-     * Provides an idle connection or a new one.
+     * Provides an idle connection that has not carried the attempt, or a new one.
      *
      * @param replica the replica
      * @param attemptId the attempt id of the request
@@ -96,7 +96,7 @@
             final boolean usable =
                     connection.isIdle()
                             && age < connection.idleLimitNanos()
-                            && !connection.hasRefused(attemptId);
+                            && !connection.hasCarried(attemptId);
             if (usable && (!recentOnly || age < RECENT_USE_NANOS)) {
                 consumer.accept(connection, null);
                 return;
