Close connections on any byte after a response

The first bytes of a head that was cut off stayed in the decoder of an idle connection, since they form no message. They were joined with the head of the next response: after "HTTP/1.1 200 O" the response "HTTP/1.1 500 ..." was read as a 200 with the attempt id, the signature and the body of the failure. A part that ends in the value of a header field has the same effect. The caller got a success where the replica had answered with a failure (MIXED).

Now any byte on an idle connection closes it, and a connection on whose decoder bytes are left when its response is complete is not used again. The decoder becomes a class of its own for this.

Not handled: a part of a head that arrives after the next request was sent can't be told by its time.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -224,6 +224,11 @@
         }
     }
 
+    /** Closes the connection, since bytes after a complete response belong to no request. */
+    void onBytesWhileIdle() {
+        close();
+    }
+
     /**
      * Records that the replica ended its side of the connection in order. A reset, which may be met
      * in a read or in a write, and a channel that is closed here don't end in this way.
@@ -361,8 +366,9 @@
         final ExchangeListener listener = mListener;
         mListener = null;
         // If the response arrived before the request was fully written, the rest of the request
-        // would be read as part of the next one.
-        if (mReusable && mWritten) {
+        // would be read as part of the next one. Bytes after the response would become a part of
+        // the next response.
+        if (mReusable && mWritten && !hasUndecodedBytes()) {
             mUsedBefore = true;
             // The caller may have paused reading in the read in which the response ended.
             setReading(true);
@@ -378,6 +384,10 @@
         }
     }
 
+    private boolean hasUndecodedBytes() {
+        return mChannel.pipeline().get(UpstreamResponseDecoder.class).hasUndecodedBytes();
+    }
+
     private void fail(final String reason) {
         final ExchangeListener listener = mListener;
         mListener = null;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -2,16 +2,12 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.connect.Connector;
@@ -49,9 +45,6 @@
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
 
     private static final int KEEP_ALIVE_PROBES = 2;
-    private static final int MAXIMUM_LINE_BYTES = 4_096;
-    private static final int MAXIMUM_HEADER_BYTES = 32 * 1024;
-    private static final int MAXIMUM_CHUNK_BYTES = 16 * 1024;
 
     private final Connector mConnector;
     private final RelayDialect mDialect;
@@ -182,7 +175,7 @@
                                         channel.pipeline()
                                                 .addLast(
                                                         new HttpRequestEncoder(),
-                                                        decoder(connection),
+                                                        new UpstreamResponseDecoder(connection),
                                                         connection);
                                     }
                                 });
@@ -197,28 +190,4 @@
                     }
                 });
     }
-
-    /**
-     * Creates a decoder that tells the connection of the end of its input, before it ends a
-     * response without a length. It knows whether the current request is a HEAD request, whose
-     * response declares the length of a body that does not follow.
-     */
-    static HttpResponseDecoder decoder(final UpstreamConnection connection) {
-        return new HttpResponseDecoder(
-                MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES) {
-            @Override
-            protected boolean isContentAlwaysEmpty(final HttpMessage message) {
-                return connection.isHeadRequest() || super.isContentAlwaysEmpty(message);
-            }
-
-            @Override
-            public void userEventTriggered(final ChannelHandlerContext context, final Object event)
-                    throws Exception {
-                if (event instanceof ChannelInputShutdownEvent) {
-                    connection.onEndOfInput();
-                }
-                super.userEventTriggered(context, event);
-            }
-        };
-    }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionHarness.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionHarness.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.daemon.time.SystemTimeSource;
@@ -25,7 +26,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -41,22 +41,26 @@
     private static final Charset ASCII = StandardCharsets.ISO_8859_1;
     private static final int UNUSED_PORT = 1;
 
-    private final NioEventLoopGroup mGroup = new NioEventLoopGroup(1);
+    /** Runs the connections that the pool opens in place of this one. */
+    private static final NioEventLoopGroup GROUP =
+            new NioEventLoopGroup(1, new DefaultThreadFactory("unused-connections", true));
+
     private final Replica mReplica =
             new Replica(
                     new ReplicaEntry("r", "app", "127.0.0.1", UNUSED_PORT, "zone", 4, false, 1));
     private final RelayDialect mDialect = new SignedDialect();
     private final UpstreamConnectionPool mPool =
-            new UpstreamConnectionPool(mGroup.next(), mDialect, new SystemTimeSource());
+            new UpstreamConnectionPool(GROUP.next(), mDialect, new SystemTimeSource());
     private final UpstreamConnection mConnection =
             new UpstreamConnection(mReplica, mPool, mDialect);
     private final HeldWrites mWrites = new HeldWrites();
     private final Deque<ByteBuf> mUnread = new ArrayDeque<>();
+    private boolean mDelivering;
     private final EmbeddedChannel mChannel =
             new EmbeddedChannel(
                     mWrites,
                     new HttpRequestEncoder(),
-                    UpstreamConnectionPool.decoder(mConnection),
+                    new UpstreamResponseDecoder(mConnection),
                     mConnection);
 
     UpstreamConnection connection() {
@@ -159,13 +163,17 @@
         mUnread.forEach(ByteBuf::release);
         mWrites.fail(new IOException("closed"));
         mChannel.finishAndReleaseAll();
-        mGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
     private void deliver() {
+        if (mDelivering) {
+            return;
+        }
+        mDelivering = true;
         while (!mUnread.isEmpty() && mChannel.isActive() && mChannel.config().isAutoRead()) {
             mChannel.writeInbound(mUnread.poll());
         }
+        mDelivering = false;
     }
 
     /** Completes writes at once, or holds them as a full socket does. */
