Build no text for routine log lines over the limit

A routine line was built in full and dropped only when it was queued, so under load the log formatted text for every request. The limit is now asked when the line is started; a line over it takes no fields and is only counted. The limit moves to LineRateLimit, so that other kinds of lines can have their own.

--- a/daemon/src/main/java/io/persimmonreel/daemon/log/EventLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/log/EventLog.java
@@ -24,19 +24,17 @@
     /** The writer collects lines for this time, since each wake-up costs processor time. */
     private static final long COLLECT_MILLIS = 100;
 
-    private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final int BATCH_CHARACTERS = 32_768;
 
     private final ArrayBlockingQueue<String> mLines = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final AtomicLong mDropped = new AtomicLong();
     private final AtomicLong mSuppressed = new AtomicLong();
+    private final LineRateLimit mRoutineLimit = new LineRateLimit(ROUTINE_LINES_PER_SECOND);
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private final TimeSource mTime;
     private final String mNode;
     private final PrintStream mOut;
     private final Thread mWriter;
-    private long mWindowStartNanos;
-    private int mRoutineLinesInWindow;
 
     /**
      * Creates a log and starts its thread.
@@ -73,7 +71,7 @@
      * @return the line
      */
     public Line routine(final String part, final String event) {
-        return new Line(this, part, event, true);
+        return new Line(this, part, event, !mRoutineLimit.tryAcquire(mTime.monotonicNanos()));
     }
 
     /** Writes the waiting lines and stops the thread. */
@@ -88,16 +86,21 @@
         }
     }
 
-    /** Builds one line. Values are escaped; field names are constants and are not. */
+    /**
+     * Builds one line. Values are escaped; field names are constants and are not. No text is built
+     * for a line that is only counted.
+     */
     public static final class Line {
         private final EventLog mLog;
-        private final boolean mRoutine;
-        private final StringBuilder mText = new StringBuilder(256);
+        private final StringBuilder mText;
 
         private Line(
-                final EventLog log, final String part, final String event, final boolean routine) {
+                final EventLog log,
+                final String part,
+                final String event,
+                final boolean countedOnly) {
             mLog = log;
-            mRoutine = routine;
+            mText = countedOnly ? null : new StringBuilder(256);
             put("ts", log.mTime.wallMillis());
             put("node", log.mNode);
             put("part", part);
@@ -112,7 +115,7 @@
          * @return this line
          */
         public Line put(final String name, final String value) {
-            if (value != null) {
+            if (value != null && mText != null) {
                 appendName(name);
                 mText.append('"');
                 appendEscaped(value);
@@ -129,8 +132,10 @@
          * @return this line
          */
         public Line put(final String name, final long value) {
-            appendName(name);
-            mText.append(value);
+            if (mText != null) {
+                appendName(name);
+                mText.append(value);
+            }
             return this;
         }
 
@@ -142,8 +147,10 @@
          * @return this line
          */
         public Line put(final String name, final boolean value) {
-            appendName(name);
-            mText.append(value);
+            if (mText != null) {
+                appendName(name);
+                mText.append(value);
+            }
             return this;
         }
 
@@ -171,7 +178,7 @@
     }
 
     private void enqueue(final Line line) {
-        if (line.mRoutine && !mayWriteRoutine()) {
+        if (line.mText == null) {
             mSuppressed.incrementAndGet();
             return;
         }
@@ -189,15 +196,6 @@
         }
     }
 
-    private synchronized boolean mayWriteRoutine() {
-        final long now = mTime.monotonicNanos();
-        if (now - mWindowStartNanos >= NANOS_PER_SECOND) {
-            mWindowStartNanos = now;
-            mRoutineLinesInWindow = 0;
-        }
-        return ++mRoutineLinesInWindow <= ROUTINE_LINES_PER_SECOND;
-    }
-
     private void writeLines() {
         final StringBuilder batch = new StringBuilder(BATCH_CHARACTERS);
         while (!mClosed.get()) {
