Record exchanges with replicas and what belongs to none of them

Each response that belongs to no request now adds to persimmonreel_relay_unrequested_responses_total by kind and leaves a line "replica unrequested-response", of which there are at most 20 a second. Two kinds go beyond the issue: a response that does not show its attempt, and one after the last response of a connection.

UpstreamExchange records status, framing, lengths, end and forwarded bytes of each exchange, one object an exchange. No decision depends on it. Bytes on an idle connection that don't complete a response head are not seen before the rest arrives, as before.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerResponse.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerResponse.java
@@ -36,15 +36,19 @@
      * @param status the status
      * @param replicaResponse the response whose end-to-end headers are forwarded
      * @param body the body, whose ownership passes to this object
+     * @param exchange the record of the exchange that the response is from
      */
     void forward(
             final HttpResponseStatus status,
             final HttpResponse replicaResponse,
-            final ByteBuf body) {
+            final ByteBuf body,
+            final UpstreamExchange exchange) {
         if (mCallerGone) {
             body.release();
             return;
         }
+        exchange.onForwarding();
+        exchange.onForwarded(body.readableBytes());
         mRequest.connection()
                 .respond(mRequest, status, EndToEndHeaders.copy(replicaResponse.headers()), body);
     }
@@ -53,12 +57,14 @@
      * Writes the head of a streamed response, unless it was written before.
      *
      * @param replicaResponse the response whose status and end-to-end headers are forwarded
+     * @param exchange the record of the exchange that the response is from
      */
-    void start(final HttpResponse replicaResponse) {
+    void start(final HttpResponse replicaResponse, final UpstreamExchange exchange) {
         if (mStarted || mCallerGone) {
             return;
         }
         mStarted = true;
+        exchange.onForwarding();
         mRequest.connection()
                 .startStream(
                         mRequest,
@@ -70,11 +76,14 @@
      * Writes bytes of a streamed response.
      *
      * @param bytes the bytes, whose ownership passes to this object
+     * @param exchange the record of the exchange that the bytes are from
      */
-    void stream(final ByteBuf bytes) {
+    void stream(final ByteBuf bytes, final UpstreamExchange exchange) {
         if (mCallerGone) {
             bytes.release();
         } else {
+            exchange.onForwarding();
+            exchange.onForwarded(bytes.readableBytes());
             mRequest.connection().stream(mRequest, bytes);
         }
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Dispatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Dispatch.java
@@ -18,6 +18,7 @@
     private long mFirstEventNanos;
     private long mLastHeardNanos;
     private long mLongestPauseNanos;
+    private UpstreamExchange mExchange;
 
     /** Creates a dispatch and adds it to the replica's load. */
     Dispatch(final Choice choice, final long nowNanos) {
@@ -39,6 +40,16 @@
         return mSentNanos;
     }
 
+    /** Records that the request was handed to a connection. */
+    void onWritten(final UpstreamExchange exchange) {
+        mExchange = exchange;
+    }
+
+    /** Returns the record of the exchange, null before the request was handed to a connection. */
+    UpstreamExchange exchange() {
+        return mExchange;
+    }
+
     boolean hasEvents() {
         return mFirstEventNanos != 0;
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -229,6 +229,7 @@
 
     @Override
     public void onWritten() {
+        mDispatch.onWritten(mConnection.exchange());
         mExecution.onSent();
         mPhase = Phase.SENT;
     }
@@ -261,7 +262,7 @@
         if (mPhase == Phase.STREAMING) {
             onEvents(bytes);
         } else if (mPhase == Phase.PASSING) {
-            mCallerResponse.stream(Unpooled.copiedBuffer(bytes));
+            mCallerResponse.stream(Unpooled.copiedBuffer(bytes), mDispatch.exchange());
         } else if (mPhase == Phase.ANSWERING) {
             bufferBody(bytes);
         }
@@ -375,12 +376,12 @@
         if (mSplitter.eventCount() > eventsBefore && mDispatch.onEvent(mService.nowNanos())) {
             mService.onFirstEvent(this);
         }
-        mCallerResponse.start(mResponse);
-        mCallerResponse.stream(completeEvents);
+        mCallerResponse.start(mResponse, mDispatch.exchange());
+        mCallerResponse.stream(completeEvents, mDispatch.exchange());
     }
 
     private void onStreamEnd() {
-        mCallerResponse.start(mResponse);
+        mCallerResponse.start(mResponse, mDispatch.exchange());
         succeed();
         end(mCallerResponse::end);
     }
@@ -402,8 +403,8 @@
         mBufferedBody.writeBytes(bytes);
         if (mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES) {
             mPhase = Phase.PASSING;
-            mCallerResponse.start(mResponse);
-            mCallerResponse.stream(mBufferedBody);
+            mCallerResponse.start(mResponse, mDispatch.exchange());
+            mCallerResponse.stream(mBufferedBody, mDispatch.exchange());
             mBufferedBody = Unpooled.EMPTY_BUFFER;
         }
     }
@@ -442,7 +443,7 @@
 
     private void forward(final HttpResponseStatus status) {
         final ByteBuf body = mBufferedBody;
-        end(() -> mCallerResponse.forward(status, mResponse, body));
+        end(() -> mCallerResponse.forward(status, mResponse, body, mDispatch.exchange()));
     }
 
     private void cancelExchange() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -146,12 +146,13 @@
         final SecureRandom random = new SecureRandom();
         final long seed = random.nextLong();
         final RetryBudget budget = new RetryBudget(settings.retryRatio(), settings.retrySlack());
+        final ExchangeLog exchangeLog = new ExchangeLog(log, mMetrics);
         mService =
                 new RelayService(
                         time,
                         new RelayLog(log, mMetrics),
                         dialect,
-                        new UpstreamConnectionPool(mGroup.next(), dialect, time),
+                        new UpstreamConnectionPool(mGroup.next(), dialect, time, exchangeLog),
                         budget,
                         new FleetQuota(settings.quotaTolerance()),
                         mGroup.next(),
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -44,6 +44,12 @@
                     "Replicas that said that they are leaving or want no requests for a time",
                     "upstream",
                     "event");
+    private final Counter mUnrequested =
+            counter(
+                    "persimmonreel_relay_unrequested_responses_total",
+                    "Responses and other bytes of replicas that belong to no request, by kind",
+                    "upstream",
+                    "kind");
     private final Histogram mQueueTime =
             histogram(
                     "persimmonreel_relay_queue_seconds",
@@ -72,6 +78,10 @@
         mAvailability.labelValues(upstream, event).inc();
     }
 
+    void onUnrequested(final String upstream, final String kind) {
+        mUnrequested.labelValues(upstream, kind).inc();
+    }
+
     void onSent(final String upstream, final int rank, final long nanos) {
         mQueueTime.labelValues(upstream, String.valueOf(rank)).observe(nanos / NANOS_PER_SECOND);
     }
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UnrequestedKind.java
@@ -0,0 +1,26 @@
+package io.persimmonreel.daemon.relay;
+
+/** Lists the kinds of responses and bytes of replicas that belong to no request. */
+enum UnrequestedKind {
+    /** An interim response (1xx). */
+    INTERIM("interim"),
+    /** A response to another attempt, which came before the response to the current one. */
+    OTHER_ATTEMPT("other-attempt"),
+    /** A response that does not show to which attempt it belongs; the exchange fails. */
+    UNATTRIBUTED("unattributed"),
+    /** A response or other bytes on an idle connection, which is closed. */
+    IDLE("idle"),
+    /** A response or other bytes after the last response of a connection that is not kept. */
+    AFTER_LAST("after-last");
+
+    private final String mLabel;
+
+    UnrequestedKind(final String label) {
+        mLabel = label;
+    }
+
+    /** Returns the name in the log and in the metrics. */
+    String label() {
+        return mLabel;
+    }
+}
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.persimmonreel.core.replica.Replica;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -69,6 +70,7 @@
     private final Replica mReplica;
     private final UpstreamConnectionPool mPool;
     private final RelayDialect mDialect;
+    private final ConnectionRecord mRecord;
     private Channel mChannel;
     private ExchangeListener mListener;
     private String mAttemptId;
@@ -86,18 +88,28 @@
     private boolean mEndsWithConnection;
     private long mIdleSinceNanos;
     private long mIdleLimitNanos;
+    private boolean mKept = true;
+    private boolean mClosed;
 
     UpstreamConnection(
             final Replica replica, final UpstreamConnectionPool pool, final RelayDialect dialect) {
         mReplica = replica;
         mPool = pool;
         mDialect = dialect;
+        mRecord =
+                new ConnectionRecord(
+                        replica, pool.nextConnectionNumber(), pool.unrequestedResponseListener());
     }
 
     Replica replica() {
         return mReplica;
     }
 
+    /** Returns the record of the last exchange, null before the first one. */
+    UpstreamExchange exchange() {
+        return mRecord.exchange();
+    }
+
     boolean isOpen() {
         return mChannel != null && mChannel.isActive();
     }
@@ -148,6 +160,8 @@
         mSkippedResponses = 0;
         mSkippedBytes = 0;
         mReusable = true;
+        mKept = false;
+        mRecord.begin(attemptId, mPool.nowNanos());
         listener.onWritten();
         mChannel.writeAndFlush(request)
                 .addListener(
@@ -188,10 +202,12 @@
     /** Ends the exchange and closes the connection, which makes the replica stop the work. */
     void cancel() {
         mListener = null;
+        endExchange(UpstreamExchange.End.CANCELLED, false);
         close();
     }
 
     void close() {
+        mClosed = true;
         if (mChannel != null) {
             mChannel.close();
         }
@@ -208,6 +224,7 @@
             if (mListener == null) {
                 // Bytes after a complete response belong to no request.
                 close();
+                reportUnrequested(message);
             } else if (((HttpObject) message).decoderResult().isFailure()) {
                 fail("the replica sent bytes that are no answer");
             } else {
@@ -234,41 +251,56 @@
     @Override
     public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
-            fail("the replica closed the connection");
+            fail("the replica closed the connection", UpstreamExchange.End.END_OF_INPUT);
         }
     }
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-        fail("connection failed: " + cause.getMessage());
+        fail(
+                "connection failed: " + cause.getMessage(),
+                cause instanceof IOException
+                        ? UpstreamExchange.End.RESET
+                        : UpstreamExchange.End.FAILURE);
     }
 
     @Override
     public void channelInactive(final ChannelHandlerContext context) {
-        fail("the replica closed the connection");
+        fail("the replica closed the connection", connectionEnd());
         mPool.onClosed(this);
     }
 
     private void onResponse(final HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            skipResponse();
+            skipResponse(UnrequestedKind.INTERIM, response, null);
             return;
         }
         final ReplicaHeaders replicaHeaders = mDialect.readResponse(response);
         // A response to an earlier attempt may arrive in place of the response to this one.
         if (replicaHeaders.attemptId() != null && !replicaHeaders.attemptId().equals(mAttemptId)) {
-            skipResponse();
+            skipResponse(UnrequestedKind.OTHER_ATTEMPT, response, replicaHeaders.attemptId());
             return;
         }
         if (!isAttributable(response, replicaHeaders)) {
             // Response headers that were cut off may look like a complete response without header
             // fields.
+            mRecord.onUnrequested(
+                    UnrequestedKind.UNATTRIBUTED,
+                    response,
+                    replicaHeaders.attemptId(),
+                    mPool.nowNanos());
             fail("the answer does not show whose it is");
             return;
         }
         if (isRefusal(response, replicaHeaders)) {
             rememberRefusal();
         }
+        mRecord.exchange()
+                .onResponse(
+                        response,
+                        replicaHeaders,
+                        ResponseFraming.of(response, mHeadRequest),
+                        mPool.nowNanos());
         mResponseStarted = true;
         mEndsWithConnection =
                 !HttpUtil.isTransferEncodingChunked(response)
@@ -279,7 +311,19 @@
         mListener.onHeaders(response, replicaHeaders);
     }
 
-    private void skipResponse() {
+    private void reportUnrequested(final Object message) {
+        if (message instanceof HttpResponse response && mRecord.isBetweenExchanges()) {
+            mRecord.onUnrequested(
+                    mKept ? UnrequestedKind.IDLE : UnrequestedKind.AFTER_LAST,
+                    response,
+                    mDialect.readResponse(response).attemptId(),
+                    mPool.nowNanos());
+        }
+    }
+
+    private void skipResponse(
+            final UnrequestedKind kind, final HttpResponse response, final String attemptId) {
+        mRecord.onUnrequested(kind, response, attemptId, mPool.nowNanos());
         mSkippingResponse = true;
         mSkippedResponses++;
         if (mSkippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
@@ -332,6 +376,7 @@
             return;
         }
         final ByteBuf bytes = content.content();
+        mRecord.exchange().onReceived(bytes.readableBytes());
         if (isIgnoring()) {
             mIgnoredBytes += bytes.readableBytes();
             if (mIgnoredBytes > MAXIMUM_SKIPPED_BYTES) {
@@ -357,15 +402,21 @@
     private void finish() {
         if (mEndsWithConnection && !mEndOfInput) {
             // The decoder ends a response without a length whenever the channel is closed.
-            fail("the connection did not end in order");
+            fail("the connection did not end in order", connectionEnd());
             return;
         }
+        endExchange(
+                mEndsWithConnection
+                        ? UpstreamExchange.End.END_OF_INPUT
+                        : UpstreamExchange.End.COMPLETE,
+                true);
         final ExchangeListener listener = mListener;
         mListener = null;
         // If the response arrived before the request was fully written, the rest of the request
         // would be read as part of the next one.
         if (mReusable && mWritten) {
             mUsedBefore = true;
+            mKept = true;
             mIdleSinceNanos = mPool.nowNanos();
             mPool.release(this);
         } else {
@@ -378,9 +429,28 @@
         }
     }
 
+    private UpstreamExchange.End connectionEnd() {
+        if (mEndOfInput) {
+            return UpstreamExchange.End.END_OF_INPUT;
+        }
+        return mClosed ? UpstreamExchange.End.CANCELLED : UpstreamExchange.End.RESET;
+    }
+
+    private void endExchange(final UpstreamExchange.End end, final boolean whole) {
+        final UpstreamExchange exchange = mRecord.exchange();
+        if (exchange != null) {
+            exchange.end(end, whole, mPool.nowNanos());
+        }
+    }
+
     private void fail(final String reason) {
+        fail(reason, UpstreamExchange.End.FAILURE);
+    }
+
+    private void fail(final String reason, final UpstreamExchange.End end) {
         final ExchangeListener listener = mListener;
         mListener = null;
+        endExchange(end, false);
         close();
         if (listener != null) {
             listener.onFailed(mResponseStarted ? reason + " inside an answer" : reason);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -56,15 +56,44 @@
     private final Connector mConnector;
     private final RelayDialect mDialect;
     private final TimeSource mTime;
+    private final UnrequestedResponseListener mUnrequestedResponseListener;
     private final Map<Replica, Deque<UpstreamConnection>> mIdle = new HashMap<>();
     private final Set<UpstreamConnection> mIgnoring = new HashSet<>();
     private long mOpenedCount;
 
+    /** Creates a pool whose unrequested responses are not reported. */
     UpstreamConnectionPool(
             final EventLoop loop, final RelayDialect dialect, final TimeSource time) {
+        this(loop, dialect, time, (response, nowNanos) -> {});
+    }
+
+    /**
+     * Creates a pool.
+     *
+     * @param loop the event loop of the connections
+     * @param dialect reads the header fields of responses
+     * @param time the clock
+     * @param unrequestedResponseListener learns of responses that belong to no request
+     */
+    UpstreamConnectionPool(
+            final EventLoop loop,
+            final RelayDialect dialect,
+            final TimeSource time,
+            final UnrequestedResponseListener unrequestedResponseListener) {
         mConnector = new Connector(loop);
         mDialect = dialect;
         mTime = time;
+        mUnrequestedResponseListener = unrequestedResponseListener;
+    }
+
+    UnrequestedResponseListener unrequestedResponseListener() {
+        return mUnrequestedResponseListener;
+    }
+
+    /** Returns the number of a connection that is being opened, from 1. */
+    long nextConnectionNumber() {
+        mOpenedCount++;
+        return mOpenedCount;
     }
 
     long nowNanos() {
@@ -156,7 +185,6 @@
 
     private void open(
             final Replica replica, final BiConsumer<UpstreamConnection, String> consumer) {
-        mOpenedCount++;
         final UpstreamConnection connection = new UpstreamConnection(replica, this, mDialect);
         final Bootstrap bootstrap =
                 new Bootstrap()
