--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamResponseDecoder.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamResponseDecoder.java
@@ -4,7 +4,6 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.util.ReferenceCountUtil;
 
 /**
  * Decodes the responses on one connection to a replica.
@@ -34,11 +33,14 @@
     @Override
     public void channelRead(final ChannelHandlerContext context, final Object message)
             throws Exception {
-        if (mConnection.isIdle()) {
-            ReferenceCountUtil.release(message);
+        final boolean idle = mConnection.isIdle();
+        // Bytes on an idle connection are decoded too, to report the responses among them.
+        super.channelRead(context, message);
+        if (hasUndecodedBytes()) {
+            mConnection.onUndecodedBytes();
+        }
+        if (idle) {
             mConnection.onBytesWhileIdle();
-        } else {
-            super.channelRead(context, message);
         }
     }
 
