Give each request its own attempt id in tests of reuse

Three tests of RelayDaemonTest send two requests with the same attempt id and are about the connection of the first. Since a connection is not used for an attempt that it carried, the second one got a new connection: doesNotTakeARefusalOfUnknownOriginForAProof failed, since a refusal without an id is a response on a new connection, and the other two passed without testing reuse. The second requests now have another id, as those of callers have. The assertions are unchanged.

--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
@@ -17,6 +17,9 @@
 import org.junit.jupiter.api.Test;
 
 class RelayDaemonTest {
+    /** Names another attempt, since no connection is used for an attempt twice. */
+    private static final String NEXT_ATTEMPT_HEADER = "Persimmonreel-Attempt: a2\r\n";
+
     /**
      * The caller gets the replica's response unchanged, and the replica does not get the caller's
      * key.
@@ -69,7 +72,7 @@
                                             "HTTP/1.1 503 x\r\nPersimmonreel-Not-Run: 1\r\n"
                                                     + "Content-Length: 0\r\n\r\n"));
             assertThat(relay.request("GET", "/lookup/1", ATTEMPT_HEADER, "")).endsWith("first");
-            assertThat(relay.request("GET", "/lookup/2", ATTEMPT_HEADER, ""))
+            assertThat(relay.request("GET", "/lookup/2", NEXT_ATTEMPT_HEADER, ""))
                     .startsWith("HTTP/1.1 502");
         }
     }
@@ -109,7 +112,8 @@
                             })
                     .addScript(e -> respond(e, 200, "second"));
             assertThat(relay.request("GET", "/lookup/1", ATTEMPT_HEADER, "")).endsWith("first");
-            assertThat(relay.request("GET", "/lookup/2", ATTEMPT_HEADER, "")).endsWith("second");
+            assertThat(relay.request("GET", "/lookup/2", NEXT_ATTEMPT_HEADER, ""))
+                    .endsWith("second");
         }
     }
 
@@ -245,7 +249,7 @@
                         .addScript(e -> respond(e, 200, "next"));
                 assertThat(relay.request("POST", "/charge/1", ATTEMPT_HEADER, "b".repeat(60_000)))
                         .startsWith("HTTP/1.1 413");
-                assertThat(relay.request("POST", "/charge/2", ATTEMPT_HEADER, "x"))
+                assertThat(relay.request("POST", "/charge/2", NEXT_ATTEMPT_HEADER, "x"))
                         .endsWith("next");
             }
         }
