Do not continue a text with the response of another replica

A long response that is no event stream is streamed to the caller. If its replica failed and the route allows it, the request was sent to another replica. On a route of resumable streams that replica may respond with events: they were appended to the text, and the response to the caller ended as complete (MIXED). On idempotent routes the second run was only wasted, since its response was dropped. A response that is streamed as text is now cut off at once.

The fault was found by a table of what may follow after the head of a success was passed on: a second response, garbage, an end without the last chunk or before the length, and resets, for event streams and long texts on four kinds of routes, and more bytes after a complete response. None of the other rows looks complete unless the replica's response was.

Before: isNotContinuedWithEvents fails, the text ends with an event and the last chunk. Resets that are met in a write are covered by EarlyResponseTest and by the table of connections.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -294,7 +294,7 @@
         mExcludedReplicas.add(replica().entry().id());
         if (mCallerResponse.isCallerGone()) {
             end();
-        } else if (mService.tryReserveResend(this, false)) {
+        } else if (mPhase != Phase.PASSING && mService.tryReserveResend(this, false)) {
             mPhase = Phase.WAITING;
             mService.resend(this, mCallerResponse.isStarted() ? "resume" : "broken", reason);
         } else {
