Fail a request whose replica switches protocols

A 101 was skipped as an interim response, though the decoder takes what follows as bytes of another protocol. Without further bytes the request waited until its time limit; with them it failed with a class cast error. The relay never asks for another protocol, so the exchange fails at once.

Before: the row "upgrade" of the table of connections ends OPEN and IN_USE. After: it fails and the connection is closed.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -256,6 +256,10 @@
     }
 
     private void onResponse(final HttpResponse response) {
+        if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            fail("the replica switched protocols without being asked");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipResponse();
             return;
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionWaitingTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionWaitingTest.java
@@ -186,6 +186,7 @@
     class AmbiguousResponse {
         static Stream<Row> rows() {
             return Stream.of(
+                    row("upgrade", "HTTP/1.1 101 Switching Protocols\r\n\r\n", failed()),
                     row("upgrade, own", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + OWN, failed()),
                     row("bytes before the head", "xx" + OWN, failed()));
         }
