Take two attempt ids in one response for none

The first of two attempt ids counted. A response with its own id and another one was taken, so that a head in which another response is mixed could be used. Its id names no single attempt; such a response now fails the request, as one without an id does.

Ruled out: skipping it. What it is made of is unknown, and so is where it ends.

Before: "own id first" of the table of connections is COMPLETE with 200, "other id first" waits. After: both fail and close the connection.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
@@ -66,7 +66,7 @@
     public ReplicaHeaders readResponse(final HttpResponse response) {
         final HttpHeaders headers = response.headers();
         return new ReplicaHeaders(
-                headers.get(ATTEMPT),
+                HeaderFields.single(headers, ATTEMPT),
                 headers.contains(NOT_RUN),
                 true,
                 UNKNOWN,
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionWaitingTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionWaitingTest.java
@@ -185,7 +185,10 @@
     @Nested
     class AmbiguousResponse {
         static Stream<Row> rows() {
+            final String other = "Persimmonreel-Attempt: other\r\n";
             return Stream.of(
+                    row("own id first", OWN.replace("Content-L", other + "Content-L"), failed()),
+                    row("other id first", OWN.replace("Persimm", other + "Persimm"), failed()),
                     row("upgrade", "HTTP/1.1 101 Switching Protocols\r\n\r\n", failed()),
                     row("upgrade, own", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + OWN, failed()),
                     row("bytes before the head", "xx" + OWN, failed()));
