Do not stream a long refusal that is no proof

A 503, 429 or 408 without the statement that the request did not run becomes a 502, since callers take these statuses as that promise. The check was made at the end of a buffered response only: a response of more than 256 KB was streamed with its status (REFUSED). Now such a response is given up when it exceeds the buffer, and the request fails with 502 or is sent to another replica if it may be.

Before: promisesNothing gets a 503 of 400,000 bytes on a route that runs at most once. After: it gets a 502.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -400,7 +400,11 @@
             mBufferedBody = Unpooled.buffer(bytes.readableBytes());
         }
         mBufferedBody.writeBytes(bytes);
-        if (mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES) {
+        final boolean tooLong = mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES;
+        if (tooLong && ReplicaResponses.impliesNotRun(mResponse.status())) {
+            cancelExchange();
+            onErrorResponse(mResponse.status());
+        } else if (tooLong) {
             mPhase = Phase.PASSING;
             mCallerResponse.start(mResponse);
             mCallerResponse.stream(mBufferedBody);
@@ -432,9 +436,7 @@
             mService.fail(
                     this,
                     HttpResponseStatus.BAD_GATEWAY,
-                    "the replica answered "
-                            + status.code()
-                            + " without saying that it did not run");
+                    "the replica answered " + status.code() + " and may have run");
         } else {
             forward(status);
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayCallStartedResponseTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayCallStartedResponseTest.java
@@ -237,4 +237,29 @@
             assertNotContinued(cutOff(text, e -> respond(e, 200, "other")), "other");
         }
     }
+
+    /** Covers failures that are too long to buffer. */
+    @Nested
+    class OfAFailure {
+        /** Guards against a promise that the request did not run. */
+        @Test
+        void promisesNothing() throws Exception {
+            final String response =
+                    request(
+                            "/charge/1",
+                            e -> respond(e, 503, LONG_TEXT),
+                            e -> respond(e, 503, LONG_TEXT));
+            assertThat(response).startsWith("HTTP/1.1 502");
+        }
+
+        @Test
+        void keepsItsStatus() throws Exception {
+            final String response =
+                    request(
+                            "/charge/1",
+                            e -> respond(e, 500, LONG_TEXT),
+                            RelayCallStartedResponseTest::reset);
+            assertThat(response).startsWith("HTTP/1.1 500");
+        }
+    }
 }
