--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -295,7 +295,7 @@
         mExcludedReplicas.add(replica().entry().id());
         if (mCallerResponse.isCallerGone()) {
             end();
-        } else if (mService.tryReserveResend(this, false)) {
+        } else if (mPhase != Phase.PASSING && mService.tryReserveResend(this, false)) {
             mPhase = Phase.WAITING;
             mService.resend(this, mCallerResponse.isStarted() ? "resume" : "broken", reason);
         } else {
@@ -401,7 +401,11 @@
             mBufferedBody = Unpooled.buffer(bytes.readableBytes());
         }
         mBufferedBody.writeBytes(bytes);
-        if (mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES) {
+        final boolean tooLong = mBufferedBody.readableBytes() > MAXIMUM_BUFFERED_RESPONSE_BYTES;
+        if (tooLong && ReplicaResponses.impliesNotRun(mResponse.status())) {
+            cancelExchange();
+            onErrorResponse(mResponse.status());
+        } else if (tooLong) {
             mPhase = Phase.PASSING;
             mCallerResponse.start(mResponse, mDispatch.exchange());
             mCallerResponse.stream(mBufferedBody, mDispatch.exchange());
@@ -433,9 +437,7 @@
             mService.fail(
                     this,
                     HttpResponseStatus.BAD_GATEWAY,
-                    "the replica answered "
-                            + status.code()
-                            + " without saying that it did not run");
+                    "the replica answered " + status.code() + " and may have run");
         } else {
             forward(status);
         }
