Check responses to callers and log the exchanges of requests

A difference leaves the line "request mismatch" and adds to persimmonreel_relay_request_mismatches_total; no behaviour depends on it. Contents of bodies are not compared, and a mismatch line is lost like others if the queue of the log is full (the counter is not).

The lines answered, resent, cancelled and failed have the record of the exchange. The new line "request written" names connection and exchange, since "request sent" is written before there is a connection and RelayShutdownTest relies on that. A replica's error that is passed on had no line; it has "error-forwarded" now. Requests at a replica that sent an unrequested response in the last 10 s are logged without a limit.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerResponse.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerResponse.java
@@ -12,6 +12,7 @@
     private final CallerRequest mRequest;
     private boolean mStarted;
     private boolean mCallerGone;
+    private UpstreamExchange mFirstExchange;
 
     CallerResponse(final CallerRequest request) {
         mRequest = request;
@@ -22,6 +23,11 @@
         return mStarted;
     }
 
+    /** Returns the exchange that the response began with, null if none was forwarded. */
+    UpstreamExchange firstExchange() {
+        return mFirstExchange;
+    }
+
     boolean isCallerGone() {
         return mCallerGone;
     }
@@ -47,8 +53,9 @@
             body.release();
             return;
         }
-        exchange.onForwarding();
+        onBegin(status, exchange);
         exchange.onForwarded(body.readableBytes());
+        exchange.onForwardedToEnd();
         mRequest.connection()
                 .respond(mRequest, status, EndToEndHeaders.copy(replicaResponse.headers()), body);
     }
@@ -64,7 +71,7 @@
             return;
         }
         mStarted = true;
-        exchange.onForwarding();
+        onBegin(replicaResponse.status(), exchange);
         mRequest.connection()
                 .startStream(
                         mRequest,
@@ -88,9 +95,14 @@
         }
     }
 
-    /** Ends a streamed response that is complete. */
-    void end() {
+    /**
+     * Ends a streamed response that is complete.
+     *
+     * @param exchange the record of the exchange that the end is from
+     */
+    void end(final UpstreamExchange exchange) {
         if (!mCallerGone) {
+            exchange.onForwardedToEnd();
             mRequest.connection().endStream(mRequest);
         }
     }
@@ -101,4 +113,9 @@
             mRequest.connection().abort(mRequest);
         }
     }
+
+    private void onBegin(final HttpResponseStatus status, final UpstreamExchange exchange) {
+        mFirstExchange = exchange;
+        exchange.onStatusForwarded(status.code());
+    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ExchangeLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ExchangeLog.java
@@ -59,6 +59,19 @@
         return since != null && nowNanos - since < WATCH_NANOS;
     }
 
+    /**
+     * Starts a line on a request. The rate of these lines is limited except for watched replicas.
+     *
+     * @param event what happened
+     * @param replica the replica of the request, null if there is none yet
+     * @param nowNanos the time in nanoseconds of the monotonic clock
+     */
+    EventLog.Line requestLine(final String event, final Replica replica, final long nowNanos) {
+        return isWatched(replica, nowNanos)
+                ? mLog.event("request", event)
+                : mLog.routine("request", event);
+    }
+
     /** Adds the number of an exchange and of its connection to a line. */
     static EventLog.Line putNumbers(final EventLog.Line line, final UpstreamExchange exchange) {
         if (exchange != null) {
@@ -70,7 +83,7 @@
         return line;
     }
 
-    /** Adds the record of an exchange to a line; null adds nothing. */
+    /** Adds the main fields of the record of an exchange to a line; null adds nothing. */
     static EventLog.Line put(final EventLog.Line line, final UpstreamExchange exchange) {
         if (exchange == null) {
             return line;
@@ -79,15 +92,44 @@
         if (exchange.hasResponse()) {
             line.put("replica_status", exchange.status())
                     .put("framing", exchange.framing().label())
-                    .put("declared_bytes", exchange.declaredLength())
                     .put("received_bytes", exchange.bytesReceived())
-                    .put("forwarded_bytes", exchange.bytesForwarded())
                     .put("forwarded_whole", exchange.isForwardedWhole())
                     .put("head_us", exchange.headNanos() / NANOS_PER_MICRO);
         }
         return line;
     }
 
+    /**
+     * Adds all that is known of a response to a caller to a line.
+     *
+     * @param line the line
+     * @param first the exchange that the response began with
+     * @param last the last exchange, another one than the first if the stream was resumed
+     */
+    static EventLog.Line putAll(
+            final EventLog.Line line, final UpstreamExchange first, final UpstreamExchange last) {
+        put(line, last)
+                .put("expected_id", last.attemptId())
+                .put("response_id", last.responseAttemptId())
+                .put("genuine", last.isGenuine())
+                .put("declared_bytes", last.declaredLength())
+                .put("whole", last.isWhole())
+                .put("caller_status", first.forwardedStatus())
+                .put("forwarded_bytes", last.bytesForwarded())
+                .put("forwarded_to_end", last.isForwardedToEnd());
+        if (first != last) {
+            line.put("first_connection", first.connection())
+                    .put("first_exchange", first.number())
+                    .put("first_status", first.status())
+                    .put("first_response_id", first.responseAttemptId())
+                    .put("first_genuine", first.isGenuine())
+                    .put("first_end", first.end().label())
+                    .put("first_received_bytes", first.bytesReceived())
+                    .put("first_forwarded_bytes", first.bytesForwarded());
+        }
+        return line;
+    }
+
     private void write(final UnrequestedResponse response) {
         final EventLog.Line line =
                 mLog.event("replica", "unrequested-response")
@@ -96,7 +138,7 @@
                         .put("connection", response.connection())
                         .put("exchanges", response.exchanges())
                         .put("expected_id", response.expectedId())
-                        .put("id", response.attemptId())
+                        .put("response_id", response.attemptId())
                         .put("status", response.status());
         if (response.framing() != null) {
             line.put("framing", response.framing().label())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -230,6 +230,7 @@
     @Override
     public void onWritten() {
         mDispatch.onWritten(mConnection.exchange());
+        mService.log().written(this, mService.nowNanos());
         mExecution.onSent();
         mPhase = Phase.SENT;
     }
@@ -279,7 +280,7 @@
             }
         } else if (mPhase == Phase.PASSING) {
             succeed();
-            end(mCallerResponse::end);
+            end(() -> mCallerResponse.end(mDispatch.exchange()));
         } else if (mPhase == Phase.ANSWERING) {
             onFullResponse();
         }
@@ -383,7 +384,7 @@
     private void onStreamEnd() {
         mCallerResponse.start(mResponse, mDispatch.exchange());
         succeed();
-        end(mCallerResponse::end);
+        end(() -> mCallerResponse.end(mDispatch.exchange()));
     }
 
     private void succeed() {
@@ -437,13 +438,13 @@
                             + status.code()
                             + " without saying that it did not run");
         } else {
+            mService.log().errorForwarded(this, status, mService.nowNanos());
             forward(status);
         }
     }
 
     private void forward(final HttpResponseStatus status) {
-        final ByteBuf body = mBufferedBody;
-        end(() -> mCallerResponse.forward(status, mResponse, body, mDispatch.exchange()));
+        end(() -> mCallerResponse.forward(status, mResponse, mBufferedBody, mDispatch.exchange()));
     }
 
     private void cancelExchange() {
@@ -489,6 +490,7 @@
                 mService.endAfterError(this, "response", e);
             }
         }
+        mService.log().checkResponse(this, mCallerResponse.firstExchange());
     }
 
     /** Closes the caller's connection, so that the caller does not wait for a response. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -150,7 +150,7 @@
         mService =
                 new RelayService(
                         time,
-                        new RelayLog(log, mMetrics),
+                        new RelayLog(log, mMetrics, exchangeLog),
                         dialect,
                         new UpstreamConnectionPool(mGroup.next(), dialect, time, exchangeLog),
                         budget,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -16,10 +16,12 @@
 
     private final EventLog mLog;
     private final RelayMetrics mMetrics;
+    private final ExchangeLog mExchangeLog;
 
-    RelayLog(final EventLog log, final RelayMetrics metrics) {
+    RelayLog(final EventLog log, final RelayMetrics metrics, final ExchangeLog exchangeLog) {
         mLog = log;
         mMetrics = metrics;
+        mExchangeLog = exchangeLog;
     }
 
     /** Logs a request that was refused on arrival, before it was queued. */
@@ -80,7 +82,8 @@
                 call.task().rank(),
                 nowNanos - call.task().request().arrivedNanos());
         final EventLog.Line line =
-                mLog.routine("request", "sent")
+                mExchangeLog
+                        .requestLine("sent", choice.replica(), nowNanos)
                         .put("id", call.task().id())
                         .put("route", call.task().route().name())
                         .put("replica", choice.replica().entry().id())
@@ -101,20 +104,31 @@
         line.write();
     }
 
+    /** Logs a request that was handed to a connection, which may follow later than its choice. */
+    void written(final RelayCall call, final long nowNanos) {
+        final EventLog.Line line =
+                mExchangeLog
+                        .requestLine("written", call.replica(), nowNanos)
+                        .put("id", call.task().id())
+                        .put("replica", call.replica().entry().id());
+        ExchangeLog.putNumbers(line, exchange(call)).write();
+    }
+
     void resent(
             final RelayCall call,
             final String resendReason,
             final String detail,
             final double budgetLeft) {
         mMetrics.onResend(call.task().upstream(), resendReason);
-        mLog.event("request", "resent")
-                .put("id", call.task().id())
-                .put("kind", resendReason)
-                .put("reason", detail)
-                .put("replica", call.replica().entry().id())
-                .put("sends", call.dispatchCount())
-                .put("budget_left", Math.round(budgetLeft))
-                .write();
+        final EventLog.Line line =
+                mLog.event("request", "resent")
+                        .put("id", call.task().id())
+                        .put("kind", resendReason)
+                        .put("reason", detail)
+                        .put("replica", call.replica().entry().id())
+                        .put("sends", call.dispatchCount())
+                        .put("budget_left", Math.round(budgetLeft));
+        ExchangeLog.put(line, exchange(call)).write();
     }
 
     void firstEvent(final RelayCall call, final long nowNanos) {
@@ -135,7 +149,8 @@
                 nowNanos - call.task().request().arrivedNanos());
         mMetrics.onEnded(call.task().upstream(), call.task().rank(), "answered");
         final EventLog.Line line =
-                mLog.routine("request", "answered")
+                mExchangeLog
+                        .requestLine("answered", call.replica(), nowNanos)
                         .put("id", call.task().id())
                         .put("status", status.code())
                         .put("replica", call.replica().entry().id())
@@ -146,17 +161,67 @@
                     .put("first_ms", Math.round(call.dispatch().firstEventMillis()))
                     .put("pause_ms", Math.round(call.dispatch().longestPauseMillis()));
         }
-        line.put("ms", Math.round(call.task().waitedMillis(nowNanos))).write();
+        line.put("ms", Math.round(call.task().waitedMillis(nowNanos)));
+        ExchangeLog.put(line, exchange(call)).write();
+    }
+
+    /** Logs a request whose caller gets the error response of a replica. */
+    void errorForwarded(
+            final RelayCall call, final HttpResponseStatus status, final long nowNanos) {
+        final EventLog.Line line =
+                mExchangeLog
+                        .requestLine("error-forwarded", call.replica(), nowNanos)
+                        .put("id", call.task().id())
+                        .put("status", status.code())
+                        .put("replica", call.replica().entry().id())
+                        .put("sends", call.dispatchCount())
+                        .put("ms", Math.round(call.task().waitedMillis(nowNanos)));
+        ExchangeLog.put(line, exchange(call)).write();
+    }
+
+    /**
+     * Checks the response to a caller; logs and counts one that differs from the replica's.
+     *
+     * @param call the request, which has ended
+     * @param first the exchange that the response began with, null if none was forwarded
+     */
+    void checkResponse(final RelayCall call, final UpstreamExchange first) {
+        if (first == null) {
+            return;
+        }
+        // A further dispatch has no exchange if its connection was not established.
+        final UpstreamExchange last = exchange(call) == null ? first : exchange(call);
+        final boolean skipsEvents = call.task().request().callerHeaders().resumeAfter() != null;
+        ExchangeCheck.check(call.task().id(), first, last, skipsEvents)
+                .ifPresent(mismatch -> mismatch(call, mismatch, first, last));
+    }
+
+    private void mismatch(
+            final RelayCall call,
+            final ExchangeCheck.Mismatch mismatch,
+            final UpstreamExchange first,
+            final UpstreamExchange last) {
+        mMetrics.onMismatch(call.task().upstream(), mismatch.label());
+        final EventLog.Line line =
+                mLog.event("request", "mismatch")
+                        .put("id", call.task().id())
+                        .put("kind", mismatch.label())
+                        .put("route", call.task().route().name())
+                        .put("replica", replicaId(call))
+                        .put("sends", call.dispatchCount());
+        ExchangeLog.putAll(line, first, last).write();
     }
 
     void cancelled(final RelayCall call, final long nowNanos) {
         mMetrics.onEnded(call.task().upstream(), call.task().rank(), "cancelled");
-        mLog.routine("request", "cancelled")
-                .put("id", call.task().id())
-                .put("phase", call.phase().name())
-                .put("replica", replicaId(call))
-                .put("ms", Math.round(call.task().waitedMillis(nowNanos)))
-                .write();
+        final EventLog.Line line =
+                mExchangeLog
+                        .requestLine("cancelled", call.replica(), nowNanos)
+                        .put("id", call.task().id())
+                        .put("phase", call.phase().name())
+                        .put("replica", replicaId(call))
+                        .put("ms", Math.round(call.task().waitedMillis(nowNanos)));
+        ExchangeLog.put(line, exchange(call)).write();
     }
 
     void failed(
@@ -165,17 +230,18 @@
             final String reason,
             final long nowNanos) {
         mMetrics.onEnded(call.task().upstream(), call.task().rank(), "failed");
-        mLog.event("request", "failed")
-                .put("id", call.task().id())
-                .put("route", call.task().route().name())
-                .put("status", status.code())
-                .put("reason", reason)
-                .put("phase", call.phase().name())
-                .put("replica", replicaId(call))
-                .put("sends", call.dispatchCount())
-                .put("may_have_run", call.mayHaveRun())
-                .put("ms", Math.round(call.task().waitedMillis(nowNanos)))
-                .write();
+        final EventLog.Line line =
+                mLog.event("request", "failed")
+                        .put("id", call.task().id())
+                        .put("route", call.task().route().name())
+                        .put("status", status.code())
+                        .put("reason", reason)
+                        .put("phase", call.phase().name())
+                        .put("replica", replicaId(call))
+                        .put("sends", call.dispatchCount())
+                        .put("may_have_run", call.mayHaveRun())
+                        .put("ms", Math.round(call.task().waitedMillis(nowNanos)));
+        ExchangeLog.put(line, exchange(call)).write();
     }
 
     /** Logs an unexpected exception or error, which ends one step of the relay. */
@@ -281,6 +347,11 @@
         return Math.round(replica.rateLimit().perSecond() * SECONDS_PER_MINUTE);
     }
 
+    /** Returns the record of the last exchange, null if there was none. */
+    private static UpstreamExchange exchange(final RelayCall call) {
+        return call.dispatch() == null ? null : call.dispatch().exchange();
+    }
+
     private static String replicaId(final RelayCall call) {
         return call.replica() == null ? null : call.replica().entry().id();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -50,6 +50,12 @@
                     "Responses and other bytes of replicas that belong to no request, by kind",
                     "upstream",
                     "kind");
+    private final Counter mMismatches =
+            counter(
+                    "persimmonreel_relay_request_mismatches_total",
+                    "Responses to callers that differ from the replica's, by the first difference",
+                    "upstream",
+                    "kind");
     private final Histogram mQueueTime =
             histogram(
                     "persimmonreel_relay_queue_seconds",
@@ -82,6 +88,10 @@
         mUnrequested.labelValues(upstream, kind).inc();
     }
 
+    void onMismatch(final String upstream, final String kind) {
+        mMismatches.labelValues(upstream, kind).inc();
+    }
+
     void onSent(final String upstream, final int rank, final long nanos) {
         mQueueTime.labelValues(upstream, String.valueOf(rank)).observe(nanos / NANOS_PER_SECOND);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -99,6 +99,10 @@
         return mTime.monotonicNanos();
     }
 
+    RelayLog log() {
+        return mLog;
+    }
+
     UpstreamConnectionPool connections() {
         return mConnections;
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamExchange.java
@@ -24,7 +24,9 @@
     private long mEndNanos;
     private boolean mForwarding;
     private boolean mForwardedWhole;
+    private int mForwardedStatus;
     private long mBytesForwarded;
+    private boolean mForwardedToEnd;
 
     /** Lists the ways in which an exchange ends. */
     enum End {
@@ -107,7 +109,7 @@
         }
     }
 
-    /** Records that the response begins to be forwarded; further calls do nothing. */
+    /** Records that bytes of the response begin to be forwarded; further calls do nothing. */
     void onForwarding() {
         if (!mForwarding) {
             mForwarding = true;
@@ -115,11 +117,22 @@
         }
     }
 
+    /** Records the status with which the response to the caller begins. */
+    void onStatusForwarded(final int status) {
+        onForwarding();
+        mForwardedStatus = status;
+    }
+
     /** Records bytes of the response that were handed to the caller's connection. */
     void onForwarded(final int bytes) {
         mBytesForwarded += bytes;
     }
 
+    /** Records that the response to the caller ended as complete. */
+    void onForwardedToEnd() {
+        mForwardedToEnd = true;
+    }
+
     /** Returns the number of the connection, which is unique in the process. */
     long connection() {
         return mConnection;
@@ -199,9 +212,22 @@
         return mEndNanos;
     }
 
-    /** Returns whether the response was whole when its first byte was forwarded. */
+    /**
+     * Returns whether the response was whole when its first byte was forwarded, or is whole if none
+     * was.
+     */
     boolean isForwardedWhole() {
-        return mForwardedWhole;
+        return mForwarding ? mForwardedWhole : mWhole;
+    }
+
+    /** Returns the status of the response to the caller, 0 if it did not begin with this one. */
+    int forwardedStatus() {
+        return mForwardedStatus;
+    }
+
+    /** Returns whether the response to the caller ended as complete with this one. */
+    boolean isForwardedToEnd() {
+        return mForwardedToEnd;
     }
 
     /** Returns the size of the forwarded body in bytes. */
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ExchangeLogTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ExchangeLogTest.java
@@ -58,7 +58,7 @@
                 .contains(
                         "\"part\":\"replica\",\"event\":\"unrequested-response\"",
                         "\"kind\":\"other-attempt\",\"replica\":\"r1\",\"connection\":7,"
-                                + "\"exchanges\":3,\"expected_id\":\"a2\",\"id\":\"a1\","
+                                + "\"exchanges\":3,\"expected_id\":\"a2\",\"response_id\":\"a1\","
                                 + "\"status\":200,\"framing\":\"chunked\",\"declared_bytes\":-1,"
                                 + "\"of_previous\":true,\"previous_age_ms\":12");
     }
@@ -91,4 +91,36 @@
         mLog.onUnrequested(response(UnrequestedKind.INTERIM), NOW);
         assertThat(mLog.isWatched(mReplica, NOW)).isFalse();
     }
+
+    @Test
+    void requestsAtAWatchedReplicaAreAllLogged() {
+        for (int i = 0; i < 500; i++) {
+            mLog.requestLine("answered", mReplica, NOW).write();
+        }
+        mLog.onUnrequested(response(UnrequestedKind.IDLE), NOW);
+        for (int i = 0; i < 500; i++) {
+            mLog.requestLine("answered", mReplica, NOW).put("i", i).write();
+        }
+        assertThat(lines()).filteredOn(line -> line.contains("\"i\":")).hasSize(500);
+    }
+
+    @Test
+    void aLineOnAMismatchHasTheRecordsOfBothExchanges() {
+        final UpstreamExchange first = new UpstreamExchange(7, 3, "a1", true, 0);
+        first.onStatusForwarded(200);
+        first.onForwarded(5);
+        final UpstreamExchange last = new UpstreamExchange(9, 1, "a1", false, 0);
+        last.onForwarded(6);
+        last.onForwardedToEnd();
+        ExchangeLog.putAll(mEventLog.event("request", "mismatch"), first, last).write();
+        assertThat(lines()[0])
+                .contains(
+                        "\"connection\":9,\"exchange\":1,\"exchange_end\":\"open\"",
+                        "\"expected_id\":\"a1\",\"genuine\":false,\"declared_bytes\":-1,"
+                                + "\"whole\":false,\"caller_status\":200,\"forwarded_bytes\":6,"
+                                + "\"forwarded_to_end\":true",
+                        "\"first_connection\":7,\"first_exchange\":3,\"first_status\":0",
+                        "\"first_end\":\"open\",\"first_received_bytes\":0,"
+                                + "\"first_forwarded_bytes\":5");
+    }
 }
