Take the end of an unframed response from the connection's state

The record said "end-of-input" because the response had been accepted as complete, so ExchangeCheck could not find a response that was accepted although its connection was lost. The record now asks the connection how it ended, apart from that decision.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -405,11 +405,11 @@
             fail("the connection did not end in order", connectionEnd());
             return;
         }
+        final UpstreamExchange.End end =
+                mEndsWithConnection ? connectionEnd() : UpstreamExchange.End.COMPLETE;
         endExchange(
-                mEndsWithConnection
-                        ? UpstreamExchange.End.END_OF_INPUT
-                        : UpstreamExchange.End.COMPLETE,
-                true);
+                end,
+                end == UpstreamExchange.End.COMPLETE || end == UpstreamExchange.End.END_OF_INPUT);
         final ExchangeListener listener = mListener;
         mListener = null;
         // If the response arrived before the request was fully written, the rest of the request
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamExchangeTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamExchangeTest.java
@@ -67,6 +67,15 @@
         assertEnd(exchange, ResponseFraming.CONNECTION_END, UpstreamExchange.End.RESET, false);
     }
 
+    @Test
+    void tellsAResponseWithoutALengthWhoseConnectionIsLostWithoutAnEndOfInput() {
+        final UpstreamExchange exchange = receive(HEAD + "\r\nok");
+        mReplica.channel().close();
+        assertEnd(exchange, ResponseFraming.CONNECTION_END, UpstreamExchange.End.RESET, false);
+        assertThat(mReplica.isEnded()).isFalse();
+        assertThat(mReplica.failure()).isNotNull();
+    }
+
     @Test
     void tellsTheEndOfInputInsideAResponse() {
         final UpstreamExchange exchange = receive(HEAD + "Content-Length: 4\r\n\r\nok");
