--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -150,14 +150,16 @@
                         replica(),
                         mTask.id(),
                         recentOnly,
-                        (connection, failure) -> {
-                            if (mPhase != Phase.CONNECTING || mDispatchCount != dispatchNumber) {
-                                closeUnused(connection);
-                            } else {
-                                mService.runFor(
-                                        this, "dispatch", () -> onConnection(connection, failure));
-                            }
-                        });
+                        (connection, failure) -> onAcquired(dispatchNumber, connection, failure));
+    }
+
+    private void onAcquired(
+            final int dispatchNumber, final UpstreamConnection connection, final String failure) {
+        if (mPhase == Phase.CONNECTING && mDispatchCount == dispatchNumber) {
+            mService.runFor(this, "dispatch", () -> onConnection(connection, failure));
+        } else if (connection != null) {
+            connection.close();
+        }
     }
 
     private void onConnection(final UpstreamConnection connection, final String failure) {
@@ -320,12 +322,6 @@
                 this);
     }
 
-    private void closeUnused(final UpstreamConnection connection) {
-        if (connection != null) {
-            connection.close();
-        }
-    }
-
     private void onUnreachable(final String reason) {
         releaseDispatch();
         mExcludedReplicas.add(replica().entry().id());
