Fail a request whose response head contains another one

A late response that is cut off in its head is joined with the head of the response that follows. The bytes after a response close an idle connection, but a part that arrives after the next request was sent can't be told by its time: "HTTP/1.1 200 " before "HTTP/1.1 500 ..." made a success with the attempt id, the signature and the body of the failure (MIXED), and a failure was made of a success in the same way. The status line of the second head stays in the reason phrase or in a field value, where no replica has reason to send one; such a head now fails the request.

Ruled out by the test: the other places at which a late response can be cut, in its status, in a field name, after its fields or in its body. There the decoder finds the head malformed, or the response is skipped by its id, or the status is that of the response to the request.

Before: the first cut that leaves "HTTP/1.1 200 " gives status 200 in place of 500 (4 of 4 tests fail). After: all cuts of two late responses, as a success and as a failure, leave the status of the replica's response or none.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -260,6 +260,10 @@
             fail("the replica switched protocols without being asked");
             return;
         }
+        if (JoinedHead.isIn(response)) {
+            fail("the head of the answer contains another answer");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipResponse();
             return;
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionWaitingTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionWaitingTest.java
@@ -13,7 +13,9 @@
 import static io.persimmonreel.daemon.relay.UpstreamConnectionTable.outcome;
 import static io.persimmonreel.daemon.relay.UpstreamConnectionTable.response;
 import static io.persimmonreel.daemon.relay.UpstreamConnectionTable.row;
+import static io.persimmonreel.daemon.relay.UpstreamConnectionTable.run;
 import static io.persimmonreel.daemon.relay.UpstreamConnectionTable.waiting;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import io.persimmonreel.daemon.relay.RecordingListener.Progress;
 import io.persimmonreel.daemon.relay.UpstreamConnectionTable.Ending;
@@ -200,4 +202,44 @@
             check(row, UpstreamConnectionTable::used);
         }
     }
+
+    /** Covers a late response that is cut off and joined with the response to the request. */
+    @Nested
+    class LateResponseThatIsCutOff {
+        private static final String LAST_ID =
+                head("200 OK", "", "Content-Length: 2\r\nPersimmonreel-Attempt: previous\r\n");
+
+        static Stream<String> late() {
+            return Stream.of(PREVIOUS, LAST_ID + "hi");
+        }
+
+        /** Guards against a success that is made of two heads. */
+        @ParameterizedTest
+        @MethodSource("late")
+        void doesNotMakeAFailureASuccess(final String late) {
+            final String failure = response(FAILURE, "own", "failure");
+            for (int length = 1; length <= late.length(); length++) {
+                final String part = late.substring(0, length);
+                for (final List<String> reads :
+                        List.of(List.of(part + failure), List.of(part, failure))) {
+                    assertThat(run(Ending.NONE, UpstreamConnectionTable::used, reads).status())
+                            .as("reads %s", reads)
+                            .isIn(0, 500);
+                }
+            }
+        }
+
+        @ParameterizedTest
+        @MethodSource("late")
+        void doesNotMakeASuccessAFailure(final String late) {
+            final String failure = late.replace("200 OK", FAILURE);
+            for (int length = 1; length <= failure.length(); length++) {
+                final String part = failure.substring(0, length);
+                final List<String> reads = List.of(part, OWN);
+                assertThat(run(Ending.NONE, UpstreamConnectionTable::used, reads).status())
+                        .as("reads %s", reads)
+                        .isIn(0, 200);
+            }
+        }
+    }
 }
