--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -284,10 +284,6 @@
     }
 
     private void onResponse(final HttpResponse response) {
-        if (ResponseHeads.followsPartOfAnother(response)) {
-            fail("the head of the response follows a part of another one");
-            return;
-        }
         if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
             fail("the replica switched protocols without being asked");
             return;
