Let tests supply the connections to replicas and callers

The pool opened its connections with a bootstrap for sockets, and the server of callers added its handlers only to sockets that it accepted, so the whole relay could not run in virtual time. The pool now takes a ReplicaConnector, whose implementation for sockets has the options that the pool set before, and the server returns the initializer that it uses itself.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -151,7 +151,8 @@
                         time,
                         new RelayLog(log, mMetrics),
                         dialect,
-                        new UpstreamConnectionPool(mGroup.next(), dialect, time),
+                        new UpstreamConnectionPool(
+                                new SocketReplicaConnector(mGroup.next()), dialect, time),
                         budget,
                         new FleetQuota(settings.quotaTolerance()),
                         mGroup.next(),
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
@@ -94,7 +94,6 @@
             final InetSocketAddress address,
             final CallerListener listener)
             throws IOException {
-        mListener = listener;
         final ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(group)
@@ -102,13 +101,7 @@
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(final Channel channel) {
-                                        addHandlers(channel);
-                                    }
-                                });
+                        .childHandler(initializer(listener));
         try {
             final Channel server = bootstrap.bind(address).syncUninterruptibly().channel();
             return (InetSocketAddress) server.localAddress();
@@ -117,6 +110,17 @@
         }
     }
 
+    /** Returns what adds the handlers of a caller's connection, which report to a listener. */
+    ChannelInitializer<Channel> initializer(final CallerListener listener) {
+        mListener = listener;
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(final Channel channel) {
+                addHandlers(channel);
+            }
+        };
+    }
+
     CallerListener listener() {
         return mListener;
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -1,20 +1,14 @@
 package io.persimmonreel.daemon.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.time.TimeSource;
-import io.persimmonreel.daemon.connect.Connector;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -26,34 +20,20 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import jdk.net.ExtendedSocketOptions;
 
 /** Pools idle connections to replicas and opens new ones. All methods run on the event loop. */
 final class UpstreamConnectionPool {
-    /**
-     * The connect timeout; a replica in the same region accepts a connection within a few
-     * milliseconds.
-     */
-    private static final int CONNECT_TIMEOUT_MILLIS = 400;
-
     /** The maximum number of idle connections per replica. */
     private static final int MAXIMUM_IDLE_CONNECTIONS = 12;
 
     /** The idle time within which no replica closes a connection. */
     private static final long RECENT_USE_NANOS = Duration.ofMillis(900).toNanos();
 
-    /**
-     * The idle time before the first TCP keep-alive probe and the interval between probes; the
-     * probes detect replicas that became silent.
-     */
-    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
-
-    private static final int KEEP_ALIVE_PROBES = 2;
     private static final int MAXIMUM_LINE_BYTES = 4_096;
     private static final int MAXIMUM_HEADER_BYTES = 32 * 1024;
     private static final int MAXIMUM_CHUNK_BYTES = 16 * 1024;
 
-    private final Connector mConnector;
+    private final ReplicaConnector mConnector;
     private final RelayDialect mDialect;
     private final TimeSource mTime;
     private final Map<Replica, Deque<UpstreamConnection>> mIdle = new HashMap<>();
@@ -61,8 +41,8 @@
     private long mOpenedCount;
 
     UpstreamConnectionPool(
-            final EventLoop loop, final RelayDialect dialect, final TimeSource time) {
-        mConnector = new Connector(loop);
+            final ReplicaConnector connector, final RelayDialect dialect, final TimeSource time) {
+        mConnector = connector;
         mDialect = dialect;
         mTime = time;
     }
@@ -158,37 +138,15 @@
             final Replica replica, final BiConsumer<UpstreamConnection, String> consumer) {
         mOpenedCount++;
         final UpstreamConnection connection = new UpstreamConnection(replica, this, mDialect);
-        final Bootstrap bootstrap =
-                new Bootstrap()
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.SO_KEEPALIVE, true)
-                        // Reports the end of the input apart from the end of the channel.
-                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
-                                KEEP_ALIVE_INTERVAL_SECONDS)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
-                                KEEP_ALIVE_INTERVAL_SECONDS)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
-                                KEEP_ALIVE_PROBES)
-                        .handler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(final Channel channel) {
-                                        channel.pipeline()
-                                                .addLast(
-                                                        new HttpRequestEncoder(),
-                                                        decoder(connection),
-                                                        connection);
-                                    }
-                                });
         mConnector.connect(
-                bootstrap,
                 new InetSocketAddress(replica.entry().host(), replica.entry().port()),
+                new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(final Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpRequestEncoder(), decoder(connection), connection);
+                    }
+                },
                 failure -> {
                     if (failure == null && connection.isOpen()) {
                         consumer.accept(connection, null);
