Read a connection again when its exchange no longer pauses it

While a caller does not take its response, the connection to the replica is not read. If the rest of the response is in the bytes that were read before, the exchange ends while reading is off, and the connection went back to the pool in this state. The call is over by then, so nobody turns reading on again: the next request on the connection was sent and its response never read, until the stall limit or the deadline ended it with 504, and the end of the idle connection was not noticed. The same holds for the rest of a response that is ignored, which then was not read within its time.

Reading is a state of the exchange. It is now turned on when the exchange ends and when its rest is ignored, since the connection has no slow caller from then on.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -173,6 +173,7 @@
         mListener = IGNORING_LISTENER;
         mIgnoredBytes = 0;
         mIgnoredSinceNanos = mPool.nowNanos();
+        setReading(true);
         mPool.onIgnoring(this);
     }
 
@@ -367,6 +368,7 @@
         if (mReusable && mWritten) {
             mUsedBefore = true;
             mIdleSinceNanos = mPool.nowNanos();
+            setReading(true);
             mPool.release(this);
         } else {
             close();
