End a call at once when the handling of its exchange fails

An unexpected error in a listener of a call was caught by the connection, which had let go of the listener or reported the failure to the call in the middle of its step. After an error while a refusal was handled, or while a broken exchange was sent again, the call belonged to no queue and no connection, and its caller waited until the deadline. After an error while the end of a caller was handled, the call went on, and its request was sent to a replica although nobody waited for it.

Steps of the timer and of placements were guarded before, each by itself. Now the events of an exchange and the end of a caller are guarded in the same way: the error is logged and ends this call only. Errors of the dialect and of the connection itself still end the exchange as broken.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -315,7 +315,7 @@
         connection.send(
                 mTask.id(),
                 mService.requestBuilder().build(this, resumeAfter, mService.nowNanos()),
-                this);
+                new GuardedExchangeListener(this, mService));
     }
 
     private void closeUnused(final UpstreamConnection connection) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -221,7 +221,7 @@
         mPreConfigurationQueue.remove(request);
         final RelayCall call = mCalls.find(request);
         if (call != null) {
-            call.onCallerGone();
+            runFor(call, "caller", call::onCallerGone);
         }
     }
 
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualChannel.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualChannel.java
@@ -65,9 +65,12 @@
         }
     }
 
-    /** Makes writes fail from now on. */
+    /** Makes writes fail from now on, also those that wait. */
     void failWrites() {
         mFailsWrites = true;
+        if (mOpen) {
+            flush();
+        }
     }
 
     /** Limits the bytes that the handlers can write until the next call. */
