--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -152,7 +152,11 @@
                         time,
                         new RelayLog(log, mMetrics, exchangeLog),
                         dialect,
-                        new UpstreamConnectionPool(mGroup.next(), dialect, time, exchangeLog),
+                        new UpstreamConnectionPool(
+                                new SocketReplicaConnector(mGroup.next()),
+                                dialect,
+                                time,
+                                exchangeLog),
                         budget,
                         new FleetQuota(settings.quotaTolerance()),
                         mGroup.next(),
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -188,6 +188,7 @@
         mListener = IGNORING_LISTENER;
         mIgnoredBytes = 0;
         mIgnoredSinceNanos = mPool.nowNanos();
+        setReading(true);
         mPool.onIgnoring(this);
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnectionPool.java
@@ -1,16 +1,10 @@
 package io.persimmonreel.daemon.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.time.TimeSource;
-import io.persimmonreel.daemon.connect.Connector;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -22,31 +16,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import jdk.net.ExtendedSocketOptions;
 
 /** Pools idle connections to replicas and opens new ones. All methods run on the event loop. */
 final class UpstreamConnectionPool {
-    /**
-     * The connect timeout; a replica in the same region accepts a connection within a few
-     * milliseconds.
-     */
-    private static final int CONNECT_TIMEOUT_MILLIS = 400;
-
     /** The maximum number of idle connections per replica. */
     private static final int MAXIMUM_IDLE_CONNECTIONS = 12;
 
     /** The idle time within which no replica closes a connection. */
     private static final long RECENT_USE_NANOS = Duration.ofMillis(900).toNanos();
 
-    /**
-     * The idle time before the first TCP keep-alive probe and the interval between probes; the
-     * probes detect replicas that became silent.
-     */
-    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
-
-    private static final int KEEP_ALIVE_PROBES = 2;
-
-    private final Connector mConnector;
+    private final ReplicaConnector mConnector;
     private final RelayDialect mDialect;
     private final TimeSource mTime;
     private final UnrequestedResponseListener mUnrequestedResponseListener;
@@ -56,24 +35,24 @@
 
     /** Creates a pool whose unrequested responses are not reported. */
     UpstreamConnectionPool(
-            final EventLoop loop, final RelayDialect dialect, final TimeSource time) {
-        this(loop, dialect, time, (response, nowNanos) -> {});
+            final ReplicaConnector connector, final RelayDialect dialect, final TimeSource time) {
+        this(connector, dialect, time, (response, nowNanos) -> {});
     }
 
     /**
      * Creates a pool.
      *
-     * @param loop the event loop of the connections
+     * @param connector opens the connections
      * @param dialect reads the header fields of responses
      * @param time the clock
      * @param unrequestedResponseListener learns of responses that belong to no request
      */
     UpstreamConnectionPool(
-            final EventLoop loop,
+            final ReplicaConnector connector,
             final RelayDialect dialect,
             final TimeSource time,
             final UnrequestedResponseListener unrequestedResponseListener) {
-        mConnector = new Connector(loop);
+        mConnector = connector;
         mDialect = dialect;
         mTime = time;
         mUnrequestedResponseListener = unrequestedResponseListener;
@@ -179,37 +158,18 @@
     private void open(
             final Replica replica, final BiConsumer<UpstreamConnection, String> consumer) {
         final UpstreamConnection connection = new UpstreamConnection(replica, this, mDialect);
-        final Bootstrap bootstrap =
-                new Bootstrap()
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.SO_KEEPALIVE, true)
-                        // Reports the end of the input apart from the end of the channel.
-                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
-                                KEEP_ALIVE_INTERVAL_SECONDS)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
-                                KEEP_ALIVE_INTERVAL_SECONDS)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
-                                KEEP_ALIVE_PROBES)
-                        .handler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(final Channel channel) {
-                                        channel.pipeline()
-                                                .addLast(
-                                                        new HttpRequestEncoder(),
-                                                        new UpstreamResponseDecoder(connection),
-                                                        connection);
-                                    }
-                                });
         mConnector.connect(
-                bootstrap,
                 new InetSocketAddress(replica.entry().host(), replica.entry().port()),
+                new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(final Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpRequestEncoder(),
+                                        new UpstreamResponseDecoder(connection),
+                                        connection);
+                    }
+                },
                 failure -> {
                     if (failure == null && connection.isOpen()) {
                         consumer.accept(connection, null);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamChannel.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamChannel.java
@@ -32,7 +32,7 @@
                 new UpstreamConnection(
                         mReplica,
                         new UpstreamConnectionPool(
-                                new EmbeddedChannel().eventLoop(),
+                                new SocketReplicaConnector(new EmbeddedChannel().eventLoop()),
                                 new NativeDialect(),
                                 this,
                                 (response, nowNanos) -> mUnrequested.add(response)),
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionHarness.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionHarness.java
@@ -50,7 +50,8 @@
                     new ReplicaEntry("r", "app", "127.0.0.1", UNUSED_PORT, "zone", 4, false, 1));
     private final RelayDialect mDialect = new SignedDialect();
     private final UpstreamConnectionPool mPool =
-            new UpstreamConnectionPool(GROUP.next(), mDialect, new SystemTimeSource());
+            new UpstreamConnectionPool(
+                    new SocketReplicaConnector(GROUP.next()), mDialect, new SystemTimeSource());
     private final UpstreamConnection mConnection =
             new UpstreamConnection(mReplica, mPool, mDialect);
     private final HeldWrites mWrites = new HeldWrites();
