Promise nothing for a 429 or 408 that is no proof

Callers take 503, 429 and 408 as the promise that the request did not run. A 503 of a replica that does not state this becomes a 502, as intended for all three, but the check was made for server errors only: a 429 or 408 without the statement was passed on for a request that may have run (REFUSED). It is now handled as a 503 is: sent to another replica if it may run again, else 502.

Before: promisesNothingIfItIsShort gets the 408 of the replica. After: 408, 429 and 503 become 502.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -414,7 +414,8 @@
 
     private void onFullResponse() {
         final HttpResponseStatus status = mResponse.status();
-        if (status.codeClass() == HttpStatusClass.SERVER_ERROR) {
+        if (status.codeClass() == HttpStatusClass.SERVER_ERROR
+                || ReplicaResponses.impliesNotRun(status)) {
             onErrorResponse(status);
             return;
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayCallStartedResponseTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayCallStartedResponseTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Covers what follows after the head of a response was passed on to the caller. */
 class RelayCallStartedResponseTest {
@@ -261,5 +262,13 @@
                             RelayCallStartedResponseTest::reset);
             assertThat(response).startsWith("HTTP/1.1 500");
         }
+
+        /** Guards against a promise that the request did not run. */
+        @ParameterizedTest
+        @ValueSource(ints = {408, 429, 503})
+        void promisesNothingIfItIsShort(final int status) throws Exception {
+            final Script script = e -> respond(e, status, "busy");
+            assertThat(request("/charge/1", script, script)).startsWith("HTTP/1.1 502");
+        }
     }
 }
