Draw more late refusals without an id and failed writes

Replicas now repeat such answers always, are slow to read and answer early more often, and fail writes within a response without a length.

--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaConnection.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaConnection.java
@@ -63,7 +63,7 @@
         mChannel = channel;
         mRelay = relay;
         mScript = script;
-        if (relay.random().nextInt(5) == 0) {
+        if (relay.random().nextInt(3) == 0) {
             channel.limitWrites(SLOW_BYTES);
         }
     }
@@ -91,10 +91,15 @@
         return connection != null && connection.isIdle() && !mChannel.isReading();
     }
 
-    /** Ends an idle or busy connection. */
+    /**
+     * Ends an idle or busy connection. An answer that ends with the connection is reset, since the
+     * end of the input would complete it.
+     */
     void breakOff(final Then how) {
+        final boolean completes =
+                how == Then.END && mInExchange && mAnswer != null && mAnswer.endsWithConnection();
         mOutputs.clear();
-        mOutputs.add(new Output(new byte[0], false, how));
+        mOutputs.add(new Output(new byte[0], false, completes ? Then.RESET : how));
     }
 
     /** Sends the next output and describes it. */
@@ -178,7 +183,7 @@
         mBody.reset();
         mAnswering = false;
         mResumeAfter = request.headers().getInt("Last-Event-ID", 0);
-        if (mRelay.random().nextInt(5) == 0) {
+        if (mRelay.random().nextInt(3) == 0) {
             answer();
         }
     }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaScript.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaScript.java
@@ -127,11 +127,13 @@
             final boolean last = i == parts.size() - 1;
             outputs.add(new Output(parts.get(i), last, last && ends ? Then.END : Then.NOTHING));
         }
-        if (!ends && mRelay.random().nextInt(3) == 0) {
+        if (!ends && (response.id() == null || mRelay.random().nextInt(3) == 0)) {
             stutter(response, outputs);
         }
         return new VirtualRequest.Answer(
-                response.status(), VirtualReplicaConnection.bytes(response.body()));
+                response.status(),
+                VirtualReplicaConnection.bytes(response.body()),
+                response.framing() == Framing.NONE);
     }
 
     /** Adds a second response with the id of the first one. */
@@ -189,10 +191,12 @@
             add(outputs, part, Then.NOTHING);
         }
         // The end of the input would show the end of a response without a length.
-        final boolean reset = response.framing() == Framing.NONE || random.nextBoolean();
-        add(outputs, new byte[0], reset ? Then.RESET : Then.END);
+        final Then other = response.framing() == Framing.NONE ? Then.FAIL_WRITES : Then.END;
+        add(outputs, new byte[0], random.nextBoolean() ? Then.RESET : other);
         return new VirtualRequest.Answer(
-                response.status(), VirtualReplicaConnection.bytes(response.body()));
+                response.status(),
+                VirtualReplicaConnection.bytes(response.body()),
+                response.framing() == Framing.NONE);
     }
 
     private Response response(
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRequest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRequest.java
@@ -47,11 +47,18 @@
     static final class Answer {
         private final int mStatus;
         private final byte[] mBody;
+        private final boolean mEndsWithConnection;
         private boolean mComplete;
 
-        Answer(final int status, final byte[] body) {
+        Answer(final int status, final byte[] body, final boolean endsWithConnection) {
             mStatus = status;
             mBody = body;
+            mEndsWithConnection = endsWithConnection;
+        }
+
+        /** Returns whether the end of the input shows the end of the answer. */
+        boolean endsWithConnection() {
+            return mEndsWithConnection;
         }
 
         int status() {
