--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/JoinedResponseHeadTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/JoinedResponseHeadTest.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.daemon.relay;
 
+import static io.persimmonreel.daemon.relay.ReplicaScripts.respond;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Nested;
@@ -57,6 +58,24 @@
         }
     }
 
+    @Test
+    void aCallerGetsNoSuccessWhereTheReplicaFailed() throws Exception {
+        try (RelayFixture relay = new RelayFixture(1)) {
+            relay.replica(0)
+                    .addScript(
+                            e -> {
+                                respond(e, 200, "done");
+                                e.write("HTTP/1.1 200 O");
+                            })
+                    .addScript(e -> respond(e, 500, "failed"));
+            assertThat(relay.request("POST", "/charge/1", "Persimmonreel-Attempt: a1\r\n", "x"))
+                    .endsWith("done");
+            assertThat(relay.request("POST", "/charge/2", "Persimmonreel-Attempt: a2\r\n", "x"))
+                    .startsWith("HTTP/1.1 500")
+                    .endsWith("failed");
+        }
+    }
+
     @Test
     void aFieldThatNamesAVersionIsNoOtherHead() {
         mReplica.send("a1");
