Close a directory connection on which bytes arrive between calls

The client of the directory service kept its connection in this case. A part of a head was joined with the next response, so that a 503 could be read as a 200, and a whole response that arrived after the next request was sent was taken for its response, as these responses have no ids.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/HttpGetClient.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/HttpGetClient.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.persimmonreel.daemon.connect.Connector;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
@@ -130,6 +132,7 @@
             protected void initChannel(final Channel channel) {
                 channel.pipeline()
                         .addLast(
+                                new IdleBytesHandler(),
                                 new HttpClientCodec(),
                                 new HttpObjectAggregator(mMaximumBytes),
                                 new ResponseHandler());
@@ -176,6 +179,22 @@
         return callback;
     }
 
+    /**
+     * Closes the connection if bytes arrive while no call is in progress. They would be taken for
+     * the response to the next call, or for the beginning of its head.
+     */
+    private final class IdleBytesHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(final ChannelHandlerContext context, final Object message) {
+            if (mCallback == null) {
+                ReferenceCountUtil.release(message);
+                context.close();
+            } else {
+                context.fireChannelRead(message);
+            }
+        }
+    }
+
     /** Receives the responses of one connection. */
     private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
