Report joined heads and limit the lines on watched replicas

An exchange that fails because two heads were joined left no line of its own and no count. It is reported as an unrequested response of kind joined-head now, which also makes the relay watch the replica.

A replica that sends unrequested responses lifted the limit of routine lines for all of its requests, so that the queue of the log could fill up; 500 lines a second are allowed in addition now. JoinedResponseHeadTest checks the report.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ExchangeLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ExchangeLog.java
@@ -21,12 +21,16 @@
     /** The maximum number of lines on unrequested responses in one second. */
     private static final int LINES_PER_SECOND = 20;
 
+    /** The maximum number of lines on requests at watched replicas in one second. */
+    private static final int WATCHED_LINES_PER_SECOND = 500;
+
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final EventLog mLog;
     private final RelayMetrics mMetrics;
     private final LineRateLimit mLineLimit = new LineRateLimit(LINES_PER_SECOND);
+    private final LineRateLimit mWatchedLimit = new LineRateLimit(WATCHED_LINES_PER_SECOND);
     private final Map<Replica, Long> mWatchedSinceNanos = new HashMap<>();
     private long mUnloggedCount;
 
@@ -60,14 +64,15 @@
     }
 
     /**
-     * Starts a line on a request. The rate of these lines is limited except for watched replicas.
+     * Starts a line on a request. The limit of the rate of these lines is higher for watched
+     * replicas.
      *
      * @param event what happened
      * @param replica the replica of the request, null if there is none yet
      * @param nowNanos the time in nanoseconds of the monotonic clock
      */
     EventLog.Line requestLine(final String event, final Replica replica, final long nowNanos) {
-        return isWatched(replica, nowNanos)
+        return isWatched(replica, nowNanos) && mWatchedLimit.tryAcquire(nowNanos)
                 ? mLog.event("request", event)
                 : mLog.routine("request", event);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UnrequestedKind.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UnrequestedKind.java
@@ -8,6 +8,8 @@
     OTHER_ATTEMPT("other-attempt"),
     /** A response that does not show to which attempt it belongs; the exchange fails. */
     UNATTRIBUTED("unattributed"),
+    /** A part of a head that was joined with the head of the next response; the exchange fails. */
+    JOINED_HEAD("joined-head"),
     /** A response or other bytes on an idle connection, which is closed. */
     IDLE("idle"),
     /** A response or other bytes after the last response of a connection that is not kept. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -290,6 +290,7 @@
             return;
         }
         if (JoinedHead.isIn(response)) {
+            mRecord.onUnrequested(UnrequestedKind.JOINED_HEAD, response, null, mPool.nowNanos());
             fail("the head of the answer contains another answer");
             return;
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/JoinedResponseHeadTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/JoinedResponseHeadTest.java
@@ -37,6 +37,9 @@
         void aPartThatEndsInTheReasonPhraseFailsTheExchange() {
             receiveAfterRequest("HTTP/1.1 200 O", true);
             assertFailed();
+            assertThat(mReplica.unrequested())
+                    .extracting(UnrequestedResponse::kind)
+                    .containsExactly(UnrequestedKind.JOINED_HEAD);
         }
 
         @Test
