--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaScript.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaScript.java
@@ -128,7 +128,7 @@
             outputs.add(new Output(parts.get(i), last, last && ends ? Then.END : Then.NOTHING));
         }
         if (!ends && (response.id() == null || mRelay.random().nextInt(3) == 0)) {
-            stutter(response, outputs);
+            respondTwice(response, outputs);
         }
         return new VirtualRequest.Answer(
                 response.status(),
@@ -137,7 +137,7 @@
     }
 
     /** Adds a second response with the id of the first one. */
-    private void stutter(final Response first, final Deque<Output> outputs) {
+    private void respondTwice(final Response first, final Deque<Output> outputs) {
         final SplittableRandom random = mRelay.random();
         final Response second =
                 switch (random.nextInt(4)) {
