--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -88,7 +88,11 @@
     private boolean mEndsWithConnection;
     private long mIdleSinceNanos;
     private long mIdleLimitNanos;
+
+    /** Whether the connection may be used again after its last response. */
     private boolean mKept = true;
+
+    /** Whether the connection was closed here and not by the replica. */
     private boolean mClosed;
 
     UpstreamConnection(
@@ -436,9 +440,9 @@
                 end == UpstreamExchange.End.COMPLETE || end == UpstreamExchange.End.END_OF_INPUT);
         final ExchangeListener listener = mListener;
         mListener = null;
-        // If the response arrived before the request was fully written, the rest of the request
-        // would be read as part of the next one. Bytes after the response would become a part of
-        // the next response.
+        // If the response arrived before the request was fully written, the replica would read the
+        // rest of the request as part of the next one. Bytes after the response would become a
+        // part of the next response.
         if (mReusable && mWritten && !hasUndecodedBytes()) {
             mUsedBefore = true;
             // The caller may have paused reading in the read in which the response ended.
