Withhold the slack of the retry budget after a restart

Upstreams would get more repeats than the budget allows (BUDGET) when all daemons restart.

Cause: each process began with its whole part of the fleet's slack, though the run before may have used it in the same window.

A daemon that restarts now has only what its requests earn until a window has passed; at the first start of the fleet (firstStart) nothing changes.

--- a/core/src/main/java/io/persimmonreel/core/retry/RetryBudget.java
+++ b/core/src/main/java/io/persimmonreel/core/retry/RetryBudget.java
@@ -7,7 +7,9 @@
  * Limits how often this daemon sends requests of an upstream again to another replica.
  *
  * <p>The budget of the fleet in a window is a share of the requests plus a fixed slack. Each daemon
- * earns the share by its own requests and has an equal part of the slack. Not thread safe.
+ * earns the share by its own requests and has an equal part of the slack. A daemon that restarts
+ * has only what it earns until the window has passed, since the run before may have used its part.
+ * Not thread safe.
  */
 public final class RetryBudget {
     /** Fraction of its part that a daemon uses, since daemons do not know each other's retries. */
@@ -19,6 +21,7 @@
     private final Map<String, Double> mTokens = new HashMap<>();
     private double mRatio;
     private double mCapacity;
+    private boolean mIsSlackWithheld;
 
     /**
      * Creates the budget of a daemon that knows no peers.
@@ -43,13 +46,24 @@
         mTokens.replaceAll((upstream, tokens) -> Math.min(tokens, mCapacity));
     }
 
+    /** Withholds this daemon's part of the slack, after a restart. */
+    public void withholdSlack() {
+        mIsSlackWithheld = true;
+    }
+
+    /** Grants this daemon's part of the slack, once a window has passed since its start. */
+    public void grantSlack() {
+        mIsSlackWithheld = false;
+        mTokens.clear();
+    }
+
     /**
      * Adds the share that a request of a caller earns.
      *
      * @param upstream the upstream's name
      */
     public void onRequest(final String upstream) {
-        final double tokens = mTokens.getOrDefault(upstream, mCapacity);
+        final double tokens = left(upstream);
         mTokens.put(upstream, Math.min(mCapacity, tokens + mRatio));
     }
 
@@ -60,7 +74,7 @@
      * @return true if the retry is allowed
      */
     public boolean take(final String upstream) {
-        final double tokens = mTokens.getOrDefault(upstream, mCapacity);
+        final double tokens = left(upstream);
         if (tokens < 1.0) {
             return false;
         }
@@ -75,6 +89,6 @@
      * @return the retries, including fractions
      */
     public double left(final String upstream) {
-        return mTokens.getOrDefault(upstream, mCapacity);
+        return mTokens.getOrDefault(upstream, mIsSlackWithheld ? 0 : mCapacity);
     }
 }
--- a/core/src/test/java/io/persimmonreel/core/retry/RetryBudgetTest.java
+++ b/core/src/test/java/io/persimmonreel/core/retry/RetryBudgetTest.java
@@ -23,6 +23,37 @@
         assertThat(retries).isBetween(60, (int) (0.2 * 100 * daemons + 52));
     }
 
+    /** Processes that start again do not use the slack of the fleet again. */
+    @Test
+    void keepsTheFleetWithinItsBudgetIfAllDaemonsRestart() {
+        final int daemons = 6;
+        final int runs = 3;
+        int retries = 0;
+        for (int i = 0; i < daemons * runs; i++) {
+            final RetryBudget budget = new RetryBudget(0.2, 52);
+            budget.configure(0.2, 52, daemons);
+            if (i >= daemons) {
+                budget.withholdSlack();
+            }
+            for (int request = 0; request < 10; request++) {
+                budget.onRequest("app");
+                while (budget.take("app")) {
+                    retries++;
+                }
+            }
+        }
+        assertThat(retries).isBetween(40, (int) (0.2 * 10 * daemons * runs + 52));
+    }
+
+    @Test
+    void hasItsPartOfTheSlackOnceTheWindowHasPassed() {
+        final RetryBudget budget = new RetryBudget(0.2, 8);
+        budget.withholdSlack();
+        assertThat(budget.take("app")).isFalse();
+        budget.grantSlack();
+        assertThat(budget.left("app")).isEqualTo(6);
+    }
+
     @Test
     void isSeparateForEachUpstream() {
         final RetryBudget budget = new RetryBudget(0.2, 4);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -83,6 +83,9 @@
      */
     private static final int LAST_RESORT_DIVISOR = 2;
 
+    /** The window of the retry budget of the fleet. */
+    private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final Duration SHUTDOWN_CHECK_INTERVAL = Duration.ofMillis(100);
@@ -148,6 +151,10 @@
         final SecureRandom random = new SecureRandom();
         final long seed = random.nextLong();
         final RetryBudget budget = new RetryBudget(settings.retryRatio(), settings.retrySlack());
+        if (!settings.firstStart()) {
+            budget.withholdSlack();
+            mTimers.after("retry-slack", RETRY_WINDOW, now -> budget.grantSlack());
+        }
         final ExchangeLog exchangeLog = new ExchangeLog(log, mMetrics);
         mQuotaUse = new QuotaUseLog(log, mMetrics, time.monotonicNanos());
         mService =
