--- a/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaBoundTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaBoundTest.java
@@ -28,6 +28,13 @@
                 daemons, QuotaFleet.customer(rate), QuotaDaemonModel.factory(TOLERANCE), seed);
     }
 
+    /** Returns a fleet that has played half of the customer's rate for some time. */
+    private static QuotaFleet settledFleet(final int daemons, final double rate, final long seed) {
+        final QuotaFleet fleet = fleet(daemons, rate, seed);
+        fleet.run(15_000, 0.5 * rate);
+        return fleet;
+    }
+
     private static void checkBound(final QuotaFleet fleet) {
         final RelayCustomer customer = fleet.customer();
         assertThat((double) fleet.mostInWindow())
@@ -40,8 +47,7 @@
         @ParameterizedTest
         @CsvSource({"2, 60000", "7, 60000", "87, 60000", "87, 500000"})
         void staysWithinTheBoundOnACalmDay(final int daemons, final double rate) {
-            final QuotaFleet fleet = fleet(daemons, rate, 1);
-            fleet.run(15_000, 0.5 * rate);
+            final QuotaFleet fleet = settledFleet(daemons, rate, 1);
             fleet.run(20_000, OVERLOAD * rate);
             checkBound(fleet);
         }
@@ -49,8 +55,7 @@
         @ParameterizedTest
         @CsvSource({"7, 60000", "87, 60000", "87, 500000"})
         void staysWithinTheBoundIfAllDaemonsRestart(final int daemons, final double rate) {
-            final QuotaFleet fleet = fleet(daemons, rate, 1);
-            fleet.run(15_000, 0.5 * rate);
+            final QuotaFleet fleet = settledFleet(daemons, rate, 1);
             for (int round = 0; round < 3; round++) {
                 fleet.run(8_000, OVERLOAD * rate);
                 for (int i = 0; i < daemons; i++) {
@@ -64,8 +69,7 @@
         @ParameterizedTest
         @CsvSource({"2, 60000", "7, 60000", "87, 60000", "87, 500000"})
         void staysWithinTheBoundIfAQueueDrainsAtOnce(final int daemons, final double rate) {
-            final QuotaFleet fleet = fleet(daemons, rate, 1);
-            fleet.run(15_000, 0.5 * rate);
+            final QuotaFleet fleet = settledFleet(daemons, rate, 1);
             fleet.run(2_000, OVERLOAD * rate);
             fleet.acceptSends(false);
             fleet.run(10_000, OVERLOAD * rate);
@@ -77,8 +81,7 @@
         @ParameterizedTest
         @CsvSource({"2, 2", "7, 3", "95, 3", "95, 12"})
         void staysWithinTheBoundIfPartsAreCutOff(final int daemons, final int parts) {
-            final QuotaFleet fleet = fleet(daemons, RATE, 1);
-            fleet.run(15_000, 0.5 * RATE);
+            final QuotaFleet fleet = settledFleet(daemons, RATE, 1);
             for (int i = 0; i < daemons; i++) {
                 fleet.moveToPart(i, i % parts);
             }
@@ -120,8 +123,7 @@
         void staysWithinTheBound(final int daemons) {
             final long seeds = Long.getLong("quota.seeds", 3);
             for (long seed = 1; seed <= seeds; seed++) {
-                final QuotaFleet fleet = fleet(daemons, RATE, seed);
-                fleet.run(15_000, 0.5 * RATE);
+                final QuotaFleet fleet = settledFleet(daemons, RATE, seed);
                 for (int i = 0; i < FAULTS; i++) {
                     injectFault(fleet);
                     fleet.run(
--- a/proof/src/test/java/io/persimmonreel/proof/KnownRedTest.java
+++ b/proof/src/test/java/io/persimmonreel/proof/KnownRedTest.java
@@ -17,16 +17,33 @@
     private static final Path FEATURES = Path.of("src/test/resources/features");
     private static final Path KNOWN_RED = Path.of("../KNOWN-RED.txt");
 
+    private static final Path MODULES = Path.of("..");
+    private static final Path TESTS = Path.of("src/test/java");
+
+    private static final Pattern SCENARIO = Pattern.compile("\\s*(Scenario.*?)\\s*");
     private static final Pattern TEST_METHOD = Pattern.compile("\\s+(?:public )?void (\\w+)\\(.*");
 
     @Test
     void printsExcludedScenariosAndFindsThemListed() throws IOException {
-        checkListed(excludedScenarios());
+        final List<String> names = new ArrayList<>();
+        try (Stream<Path> files = Files.list(FEATURES)) {
+            for (final Path file : files.sorted().toList()) {
+                names.addAll(tagged(file, "@known-red", SCENARIO));
+            }
+        }
+        checkListed(names);
     }
 
+    /** Checks the tests of all modules, by class and method. */
     @Test
     void printsExcludedTestsAndFindsThemListed() throws IOException {
-        checkListed(excludedTests());
+        final List<String> names = new ArrayList<>();
+        for (final Path file : testClasses()) {
+            final String testClass = file.getFileName().toString().replace(".java", "");
+            tagged(file, "@Tag(\"known-red\")", TEST_METHOD)
+                    .forEach(method -> names.add(testClass + "." + method));
+        }
+        checkListed(names);
     }
 
     private static void checkListed(final List<String> names) throws IOException {
@@ -35,42 +52,33 @@
         assertThat(names).allMatch(listed::contains);
     }
 
-    private static List<String> excludedScenarios() throws IOException {
-        final List<String> names = new ArrayList<>();
-        try (Stream<Path> files = Files.list(FEATURES)) {
-            for (final Path file : files.sorted().toList()) {
-                boolean tagged = false;
-                for (final String line : Files.readAllLines(file)) {
-                    tagged |= line.contains("@known-red");
-                    if (tagged && line.trim().startsWith("Scenario")) {
-                        names.add(line.trim());
-                        tagged = false;
+    private static List<Path> testClasses() throws IOException {
+        final List<Path> classes = new ArrayList<>();
+        try (Stream<Path> modules = Files.list(MODULES)) {
+            for (final Path tests : modules.map(m -> m.resolve(TESTS)).sorted().toList()) {
+                if (Files.isDirectory(tests)) {
+                    try (Stream<Path> files = Files.walk(tests)) {
+                        files.filter(f -> f.toString().endsWith("Test.java"))
+                                .sorted()
+                                .forEach(classes::add);
                     }
                 }
             }
         }
-        return names;
+        return classes;
     }
 
-    /** Returns the excluded tests of all modules, as class and method. */
-    private static List<String> excludedTests() throws IOException {
+    /** Returns the first match of a pattern after each line with a tag. */
+    private static List<String> tagged(final Path file, final String tag, final Pattern pattern)
+            throws IOException {
         final List<String> names = new ArrayList<>();
-        try (Stream<Path> files = Files.walk(Path.of(".."))) {
-            for (final Path file :
-                    files.filter(f -> f.toString().contains("/src/test/java/")).sorted().toList()) {
-                final String fileName = file.getFileName().toString();
-                if (!fileName.endsWith("Test.java")) {
-                    continue;
-                }
-                boolean tagged = false;
-                for (final String line : Files.readAllLines(file)) {
-                    tagged |= line.contains("@Tag(\"known-red\")");
-                    final Matcher method = TEST_METHOD.matcher(line);
-                    if (tagged && method.matches()) {
-                        names.add(fileName.replace(".java", "") + "." + method.group(1));
-                        tagged = false;
-                    }
-                }
+        boolean tagged = false;
+        for (final String line : Files.readAllLines(file)) {
+            tagged |= line.contains(tag);
+            final Matcher name = pattern.matcher(line);
+            if (tagged && name.matches()) {
+                names.add(name.group(1));
+                tagged = false;
             }
         }
         return names;
