Remove duplicates and dead code from the exchange of units

- A unit's collector and a leaf's hubs are chosen by one rendezvous order; which daemon collects for a customer changes with it, not how it is chosen.
- A claim takes units as a request without a claim does, with one check for customers without a quota; waits and holds divide by one rate.
- Members of a digest are checked once and recorded for the topology and the share together, so an address that can't be parsed counts in neither.
- Gone: QuotaUseLog.addAll, QuotaPeers.share, PeerExchange.name, a parameter of RelayService.refuse that was always empty, a second copy of the list of customers at each interval, a second look at the seeds in each update.

Limits, times and messages are as before; the tests of core.quota, the topology, the relay in virtual time and the relay daemon passed.

--- a/core/src/main/java/io/persimmonreel/core/membership/HubTopology.java
+++ b/core/src/main/java/io/persimmonreel/core/membership/HubTopology.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Chooses the daemons that a daemon exchanges digests of relayed work with, from the addresses of
@@ -126,24 +127,19 @@
         if (!isMesh() && !isHub()) {
             return hubInUse(heard);
         }
-        String best = mSelf;
-        for (final String candidate : heard) {
-            if ((isMesh() || isHub(candidate)) && weight(key, candidate) > weight(key, best)) {
-                best = candidate;
-            }
-        }
-        return best.equals(mSelf) ? Optional.empty() : Optional.of(best);
+        return Stream.concat(
+                        Stream.of(mSelf),
+                        heard.stream().filter(member -> isMesh() || isHub(member)))
+                .min(rendezvousOrder(key))
+                .filter(first -> !first.equals(mSelf));
     }
 
-    private static long weight(final String key, final String member) {
-        return HASHER.hashCharsToLong(member + '/' + key);
+    private static List<String> ownHubs(final String self, final Set<String> hubs) {
+        return hubs.stream().sorted(rendezvousOrder(self)).limit(HUBS_PER_LEAF).toList();
     }
 
-    private static List<String> ownHubs(final String self, final Set<String> hubs) {
-        return hubs.stream()
-                .sorted(Comparator.comparingLong(hub -> HASHER.hashCharsToLong(self + hub)))
-                .limit(HUBS_PER_LEAF)
-                .toList();
+    private static Comparator<String> rendezvousOrder(final String key) {
+        return Comparator.comparingLong(member -> HASHER.hashCharsToLong(key + member));
     }
 
     private static Set<String> hubs(final Collection<String> members) {
--- a/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +24,9 @@
 
     private static final long MAXIMUM_HOLD_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** The multiple of the time in which its units accrue for which a claim waits. */
+    private static final double HOLD_FACTOR = 1.5;
+
     /** The time for which a patient claim waits, in nanoseconds. */
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(6);
 
@@ -125,12 +127,17 @@
         return mAllowance.ratePerSecond();
     }
 
-    /** Takes units if there are enough and no claim waits for them. */
-    Optional<QuotaPermit> tryTake(final long units, final long nowNanos) {
+    /**
+     * Takes units if there are enough and no claim waits for them.
+     *
+     * @param minimumLifeNanos the time for which the units must be usable
+     */
+    Optional<QuotaPermit> tryTake(
+            final long units, final long minimumLifeNanos, final long nowNanos) {
         if (isUnlimited()) {
             return Optional.of(QuotaPermit.UNLIMITED);
         }
-        return mClaims.isEmpty() ? take(units, 0, nowNanos) : Optional.empty();
+        return mClaims.isEmpty() ? take(units, minimumLifeNanos, nowNanos) : Optional.empty();
     }
 
     /**
@@ -144,15 +151,9 @@
             final QuotaSupplier supplier,
             final double inflowShare,
             final long nowNanos) {
-        if (isUnlimited()) {
-            claim.listener().onGranted(QuotaPermit.UNLIMITED, nowNanos);
-            return;
-        }
         final boolean isPatient = claim.kind().isPatient();
         final Optional<QuotaPermit> permit =
-                mClaims.isEmpty()
-                        ? take(claim.units(), claim.kind().minimumLifeNanos(), nowNanos)
-                        : Optional.empty();
+                tryTake(claim.units(), claim.kind().minimumLifeNanos(), nowNanos);
         if (permit.isPresent()) {
             claim.listener().onGranted(permit.get(), nowNanos);
             return;
@@ -211,9 +212,7 @@
 
     /** Refuses the claims that waited too long, and updates the rate of use. */
     void onTimer(final double inflowShare, final long nowNanos) {
-        final Iterator<QuotaClaim> claims = List.copyOf(mClaims).iterator();
-        while (claims.hasNext()) {
-            final QuotaClaim claim = claims.next();
+        for (final QuotaClaim claim : List.copyOf(mClaims)) {
             if (nowNanos - claim.deadlineNanos() >= 0) {
                 mClaims.remove(claim);
                 refuse(claim, waitMillis(claim.units(), inflowShare, nowNanos));
@@ -263,9 +262,8 @@
     /** Returns the estimated time until units can be had, in milliseconds. */
     private long waitMillis(final long units, final double inflowShare, final long nowNanos) {
         final double missing = claimedUnits() + units - mStock.total(nowNanos);
-        final double perSecond = Math.max(1.0, mAllowance.ratePerSecond() * inflowShare);
-        return (long)
-                Math.min(MAXIMUM_WAIT_MILLIS, Math.max(0, missing) / perSecond * MILLIS_PER_SECOND);
+        final double millis = inflowSeconds(Math.max(0, missing), inflowShare) * MILLIS_PER_SECOND;
+        return (long) Math.min(MAXIMUM_WAIT_MILLIS, millis);
     }
 
     /** Takes units that don't expire soon, or others if the request is sent by this daemon. */
@@ -300,11 +298,17 @@
     }
 
     private long holdNanos(final long units, final double inflowShare) {
-        final double perSecond = Math.max(1.0, mAllowance.ratePerSecond() * inflowShare);
-        final double nanos = MINIMUM_HOLD_NANOS + 1.5 * units / perSecond * NANOS_PER_SECOND;
+        final double nanos =
+                MINIMUM_HOLD_NANOS
+                        + HOLD_FACTOR * inflowSeconds(units, inflowShare) * NANOS_PER_SECOND;
         return (long) Math.min(MAXIMUM_HOLD_NANOS, nanos);
     }
 
+    /** Returns the time in which units accrue here or are brought here, in seconds. */
+    private double inflowSeconds(final double units, final double inflowShare) {
+        return units / Math.max(1.0, mAllowance.ratePerSecond() * inflowShare);
+    }
+
     private long claimedUnits() {
         long units = 0;
         for (final QuotaClaim claim : mClaims) {
--- a/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -114,7 +114,7 @@
             return Optional.of(QuotaPermit.UNLIMITED);
         }
         quota.accrue(mShare, nowNanos);
-        return quota.tryTake(units, nowNanos);
+        return quota.tryTake(units, 0, nowNanos);
     }
 
     /**
@@ -271,7 +271,7 @@
     }
 
     /** Returns the customers with a quota. */
-    Collection<CustomerQuota> limited() {
+    List<CustomerQuota> limited() {
         return mQuotas.values().stream().filter(quota -> !quota.isUnlimited()).toList();
     }
 }
--- a/core/src/main/java/io/persimmonreel/core/quota/FleetShare.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetShare.java
@@ -200,7 +200,8 @@
         mMembers.values().removeIf(m -> nowNanos - m.mHeardNanos > MAXIMUM_PARTITION_NANOS);
         mReportedSizes.values().removeIf(heard -> nowNanos - heard > MAXIMUM_PARTITION_NANOS);
         updateCounted(reachable, nowNanos);
-        if (!hearsMajorityOfSeeds(nowNanos)) {
+        final boolean hearsSeeds = hearsMajorityOfSeeds(nowNanos);
+        if (!hearsSeeds) {
             mSeedsLostNanos = nowNanos;
         }
         if (mStanding == Standing.MEMBER) {
@@ -212,7 +213,7 @@
         } else if (mStanding == Standing.UNKNOWN
                 && nanos >= DISCOVERY_NANOS
                 && nowNanos - mPeerStandingNanos >= DISCOVERY_NANOS
-                && hearsMajorityOfSeeds(nowNanos)) {
+                && hearsSeeds) {
             mMembers.values().forEach(member -> member.mIsCounted = true);
             setStanding(mIsFirstStart ? Standing.MEMBER : Standing.PROVISIONAL, nowNanos);
         }
--- a/core/src/main/java/io/persimmonreel/core/quota/UnitExchange.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/UnitExchange.java
@@ -176,7 +176,7 @@
      * @param nowNanos the current monotonic time in nanoseconds
      */
     public void onInterval(final long nowNanos) {
-        final List<CustomerQuota> quotas = List.copyOf(mQuota.limited());
+        final List<CustomerQuota> quotas = mQuota.limited();
         final int count = Math.min(MAXIMUM_CUSTOMERS, quotas.size());
         for (int i = 0; i < count; i++) {
             final CustomerQuota quota = quotas.get((mNextCustomer + i) % quotas.size());
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -287,18 +287,18 @@
         peer.mShuttingDown = digest.leaving();
         mPeerDigests.onDigest(from, digest, now);
         mService.configurationMonitor().onPeerVersion(digest.configVersion());
-        recordMember(digest.address(), now);
-        digest.members().forEach(address -> recordMember(address, now));
-        mQuotaPeers.onDigest(digest, now);
+        recordMember(digest.address(), true, now);
+        digest.members().forEach(address -> recordMember(address, false, now));
         requestDirectoryIfBehind(from, digest, now);
         if (!mSelector.topology().isHub()) {
             applyPeerWork(now);
         }
     }
 
-    private void recordMember(final String address, final long now) {
+    private void recordMember(final String address, final boolean isSender, final long now) {
         if (mSelector.isOther(address)) {
             mLastHeardNanosByMember.put(address, now);
+            mQuotaPeers.onMember(address, isSender, now);
         }
     }
 
@@ -432,11 +432,6 @@
         return peer == null ? "" : peer.mAddress;
     }
 
-    /** Returns this daemon's address as it appears in digests. */
-    String name() {
-        return mSelector.name();
-    }
-
     HubTopology topology() {
         return mSelector.topology();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaPeers.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaPeers.java
@@ -2,7 +2,6 @@
 
 import io.persimmonreel.core.peer.Incarnation;
 import io.persimmonreel.core.peer.PeerMessage.FleetMembers;
-import io.persimmonreel.core.peer.PeerMessage.RelayDigest;
 import io.persimmonreel.core.peer.PeerMessage.Standing;
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
 import io.persimmonreel.core.quota.FleetQuota;
@@ -56,11 +55,6 @@
                 settings.seeds().stream().map(PeerSelector::format).toList());
     }
 
-    /** Returns the share of this daemon in limits of the fleet. */
-    FleetShare share() {
-        return mShare;
-    }
-
     void onConnected(final Incarnation peer) {
         mExchange.onConnected(peer);
         if (mShare.standing() != Standing.UNKNOWN) {
@@ -72,11 +66,13 @@
         mExchange.onDisconnected(peer);
     }
 
-    void onDigest(final RelayDigest digest, final long nowNanos) {
-        digest.members().stream()
-                .filter(address -> !address.equals(mPeers.name()))
-                .forEach(address -> mShare.onListed(address, nowNanos));
-        mShare.onHeard(digest.address(), nowNanos);
+    /** Records that a member runs: one that sent a digest, or one that a peer lists. */
+    void onMember(final String address, final boolean isSender, final long nowNanos) {
+        if (isSender) {
+            mShare.onHeard(address, nowNanos);
+        } else {
+            mShare.onListed(address, nowNanos);
+        }
     }
 
     void onTransfer(final Incarnation from, final UnitTransfer transfer, final long nowNanos) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaUseLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaUseLog.java
@@ -48,11 +48,6 @@
                 .merge(event, units, Long::sum);
     }
 
-    /** Counts units of several customers. */
-    void addAll(final Map<String, Long> unitsByCustomer, final QuotaEvent event) {
-        unitsByCustomer.forEach((customer, units) -> add(customer, event, units));
-    }
-
     /** Writes the counts since the last call. */
     void write(final long nowNanos) {
         final long millis = TimeUnit.NANOSECONDS.toMillis(nowNanos - mSinceNanos);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
-import io.persimmonreel.core.quota.QuotaState;
 import io.persimmonreel.core.ratelimit.RateShares;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
@@ -199,7 +198,7 @@
         final RequestResolver.Result result = mResolver.resolve(request, configuration, nowNanos());
         if (result.refusal() != null) {
             final RelayRefusal refusal = result.refusal();
-            refuse(request, refusal.status(), refusal.reason(), 0, Optional.empty());
+            refuse(request, refusal.status(), refusal.reason(), 0);
         } else {
             accept(new RelayCall(result.task(), this));
         }
@@ -236,8 +235,7 @@
                                 request,
                                 HttpResponseStatus.SERVICE_UNAVAILABLE,
                                 "no configuration is known",
-                                NO_CONFIGURATION_RETRY_AFTER_MILLIS,
-                                Optional.empty()));
+                                NO_CONFIGURATION_RETRY_AFTER_MILLIS));
         mQuota.onTimer(nowNanos);
         mScheduler.placeAll();
         mReplicaObserver.onTimer(nowNanos);
@@ -420,8 +418,7 @@
                     task.request(),
                     HttpResponseStatus.SERVICE_UNAVAILABLE,
                     refusal.get().reason(),
-                    refusal.get().retryAfterMillis(),
-                    Optional.empty());
+                    refusal.get().retryAfterMillis());
             return;
         }
         mCalls.add(call);
@@ -433,15 +430,14 @@
             final CallerRequest request,
             final HttpResponseStatus status,
             final String reason,
-            final long retryAfterMillis,
-            final Optional<QuotaState> quota) {
+            final long retryAfterMillis) {
         mLog.refusedOnArrival(
                 request,
                 status,
                 reason,
                 mConfigurationMonitor.snapshot(nowNanos()),
                 retryAfterMillis,
-                quota);
+                Optional.empty());
         respond(request, status, reason, retryAfterMillis);
     }
 
