Decide waits and refusals by the caller's time left

What callers saw: a first attempt with 12 s left was refused after 48 ms, although a slot would have been free in time; a repeat in the same state waited for 750 ms. After one caller with a long deadline, all other callers of the route counted as late. During an outage, a rate limit or a push-back callers with seconds left were refused by other shares of their time.

Cause: waits, refusals and Retry-After were shares of the objective and of the deadline, twice (Admission, RateLimitedWait) and a third time for outages, and first attempts and repeats were told apart by a guess from the longest deadline of the route (PriorWaitEstimator).

Now Admission decides alike for busy replicas, rate limits, push-backs and outages, by the time that the caller has left (deadline, longest time of the route, gap after which callers leave a stream), the time until a slot is free after the requests before it, and the time that the response takes. Requests that can still be on time come first, then those that must start soonest; a rank multiplies the time left. ReturnSchedule tells each refused caller when a slot is expected, a third of its time at most. The guess about earlier attempts is gone. Waiting requests are bounded in number and bytes by settings; beyond, the last in order is refused. Predictions contain the whole mean error, and Placement no share of the deadline.

Evidence: WaitingRequestTest, without the bound, on the code before: 6 of 11 tests fail (a busy replica, a permit, a push-back, any replica; equal time left; an unusual deadline). They pass now, as do the properties in AdmissionTest (more time left never refuses sooner; nothing is refused that can be served in time; all times scaled, the same decision).

Replaced tests, each with what callers need: refusesSoonIfRequestWillBeLate and holdsRetryLonger required the shares; the tests of rate limits and push-backs required a refusal of callers with time, and now require it of callers without time, and a late service of the others; doNotDeepenTheStack waits for the deadline; StaleFleetTest compared late responses, which are now wanted, and compares served requests.

--- a/core/src/main/java/io/persimmonreel/core/route/Route.java
+++ b/core/src/main/java/io/persimmonreel/core/route/Route.java
@@ -14,6 +14,8 @@
  *     stream, is on time
  * @param gapObjectiveMillis the maximum time in milliseconds between two events of a stream for the
  *     next one to be on time
+ * @param patienceMillis the time in milliseconds without an event after which callers leave a
+ *     stream, also before its first event; not used for other routes
  * @param rank the priority, 0 is the highest
  * @param upstreams the upstreams with their weights, not empty
  * @param maximumAttempts the maximum number of replicas that one attempt of a caller is sent to
@@ -28,6 +30,7 @@
         long timeoutMillis,
         long objectiveMillis,
         long gapObjectiveMillis,
+        long patienceMillis,
         int rank,
         List<WeightedUpstream> upstreams,
         int maximumAttempts,
--- a/core/src/test/java/io/persimmonreel/core/route/RouteTableTest.java
+++ b/core/src/test/java/io/persimmonreel/core/route/RouteTableTest.java
@@ -31,6 +31,7 @@
                 1_000,
                 100,
                 0,
+                1_000,
                 0,
                 upstreams,
                 1,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -453,7 +453,8 @@
                                 mLastHeardNanosByMember.keySet(),
                                 reportedSize,
                                 mService.replicas().byUpstream()),
-                RateShares.of(mSelector.name(), mLastHeardNanosByMember.keySet(), assumedSize));
+                RateShares.of(mSelector.name(), mLastHeardNanosByMember.keySet(), assumedSize),
+                reportedSize);
     }
 
     private List<String> addresses() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -171,6 +171,7 @@
                         new FleetQuota(settings.quotaTolerance(), QuotaLife.MESH),
                         mGroup.next(),
                         settings.propagation().dividedBy(LAST_RESORT_DIVISOR),
+                        settings.heldLimits(),
                         seed);
         mServer = new RelayServer(dialect, time, log, mService::limits, mService::bufferedBytes);
         mDirectory = new DirectoryState(format, mService, log);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
@@ -1,11 +1,11 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.admission.RateLimitedWait;
 import io.persimmonreel.core.peer.PeerMessage;
 import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
 import io.persimmonreel.core.peer.PeerMessage.RateLimitState;
 import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import io.persimmonreel.core.ratelimit.RateLimitStatement;
-import io.persimmonreel.core.ratelimit.RateLimitedWait;
 import io.persimmonreel.core.ratelimit.RateShares;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaRegistry;
--- /dev/null
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingRequest.java
@@ -0,0 +1,31 @@
+package io.persimmonreel.daemon.relay;
+
+import io.persimmonreel.core.admission.QueuePosition;
+import io.persimmonreel.core.admission.RunForecast;
+
+/**
+ * Describes a request that waits for a replica.
+ *
+ * @param call the call of the request
+ * @param run how long the response takes at the replica that was chosen last, or at best before one
+ *     was chosen
+ */
+record WaitingRequest(RelayCall call, RunForecast run) {
+    WaitingRequest withRun(final RunForecast newRun) {
+        return new WaitingRequest(call, newRun);
+    }
+
+    /** Returns the position in the queue, which changes with time. */
+    QueuePosition position(final long nowNanos) {
+        return QueuePosition.of(call.task().timeLeft(nowNanos), run, call.task().rank());
+    }
+
+    /** Returns whether the request can be ended with the promise that it did not run. */
+    boolean canBeRefused() {
+        return !call.mayHaveRun() && !call.hasResponseStarted();
+    }
+
+    long bodyBytes() {
+        return call.task().request().body().readableBytes();
+    }
+}
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
@@ -53,6 +53,16 @@
         assertThat(settings.recovery()).hasMillis(3_000);
     }
 
+    @Test
+    void readsTheLimitsOfWaitingRequests() throws Exception {
+        assertThat(read(TEXT).heldLimits()).isEqualTo(HeldLimits.STANDARD);
+        assertThat(
+                        read(TEXT.replace(
+                                        "\"more\": 1", "\"heldRequests\": 7, \"heldBodyBytes\": 9"))
+                                .heldLimits())
+                .isEqualTo(new HeldLimits(7, 9));
+    }
+
     @Test
     void namesTheInvalidField() {
         assertThatThrownBy(() -> read(TEXT.replace("127.0.0.1:3", "nowhere")))
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/StallRuleTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/StallRuleTest.java
@@ -27,6 +27,7 @@
                 12_000,
                 OBJECTIVE_MILLIS,
                 GAP_OBJECTIVE_MILLIS,
+                3_200,
                 0,
                 List.of(new Route.WeightedUpstream("app", 1)),
                 2,
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualCaller.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualCaller.java
@@ -80,6 +80,25 @@
         VirtualReplicaConnection.split(bytes.toByteArray(), random).forEach(mParts::add);
     }
 
+    /** Sends a whole request without a body. */
+    void send(final VirtualRequest request, final long deadlineMillis) {
+        mUnanswered.add(request);
+        mChannel.receive(
+                ("POST "
+                                + request.kind().prefix()
+                                + request.id()
+                                + " HTTP/1.1\r\nHost: acme.example\r\nAuthorization: Bearer "
+                                + RelayFixture.KEY
+                                + "\r\n"
+                                + ATTEMPT
+                                + ": "
+                                + request.id()
+                                + "\r\nPersimmonreel-Deadline: "
+                                + deadlineMillis
+                                + "\r\nContent-Length: 0\r\n\r\n")
+                        .getBytes(StandardCharsets.UTF_8));
+    }
+
     /** Draws the body of a request. */
     static byte[] body(final String id, final SplittableRandom random) {
         final int kind = random.nextInt(6);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
@@ -78,6 +78,7 @@
                         new FleetQuota(QuotaTolerance.NONE, QuotaLife.MESH),
                         mLoop,
                         Duration.ofMillis(500),
+                        HeldLimits.STANDARD,
                         1);
         mServer =
                 new RelayServer(
