--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualCaller.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualCaller.java
@@ -80,23 +80,28 @@
         VirtualReplicaConnection.split(bytes.toByteArray(), random).forEach(mParts::add);
     }
 
-    /** Sends a whole request without a body. */
+    /** Sends a whole request at once. */
     void send(final VirtualRequest request, final long deadlineMillis) {
         mUnanswered.add(request);
-        mChannel.receive(
-                ("POST "
-                                + request.kind().prefix()
-                                + request.id()
-                                + " HTTP/1.1\r\nHost: acme.example\r\nAuthorization: Bearer "
-                                + RelayFixture.KEY
-                                + "\r\n"
-                                + ATTEMPT
-                                + ": "
-                                + request.id()
-                                + "\r\nPersimmonreel-Deadline: "
-                                + deadlineMillis
-                                + "\r\nContent-Length: 0\r\n\r\n")
-                        .getBytes(StandardCharsets.UTF_8));
+        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        write(
+                bytes,
+                "POST "
+                        + request.kind().prefix()
+                        + request.id()
+                        + " HTTP/1.1\r\nHost: acme.example\r\nAuthorization: Bearer "
+                        + RelayFixture.KEY
+                        + "\r\n"
+                        + ATTEMPT
+                        + ": "
+                        + request.id()
+                        + "\r\nPersimmonreel-Deadline: "
+                        + deadlineMillis
+                        + "\r\nContent-Length: "
+                        + request.body().length
+                        + "\r\n\r\n");
+        bytes.writeBytes(request.body());
+        mChannel.receive(bytes.toByteArray());
     }
 
     /** Draws the body of a request. */
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
@@ -60,6 +60,10 @@
             ChannelInitializer<Channel> initializer, Consumer<Throwable> onOutcome) {}
 
     VirtualRelay() {
+        this(HeldLimits.STANDARD);
+    }
+
+    VirtualRelay(final HeldLimits heldLimits) {
         FAULTS.disarm();
         final RelayDialect dialect = FAULTS.in(new NativeDialect());
         final RelayMetrics metrics = new RelayMetrics();
@@ -78,7 +82,7 @@
                         new FleetQuota(QuotaTolerance.NONE, QuotaLife.MESH),
                         mLoop,
                         Duration.ofMillis(500),
-                        HeldLimits.STANDARD,
+                        heldLimits,
                         1);
         mServer =
                 new RelayServer(
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/WaitingRequestTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/WaitingRequestTest.java
@@ -24,12 +24,14 @@
     private static final ReplicaEntry ENTRY =
             new ReplicaEntry("r0", "app", "127.0.0.1", 1, "zone", 1, false, 1);
 
-    private final VirtualRelay mRelay = new VirtualRelay();
+    private VirtualRelay mRelay = newRelay(HeldLimits.STANDARD);
     private final List<VirtualCaller> mCallers = new ArrayList<>();
 
-    WaitingRequestTest() {
-        mRelay.advance(1);
-        mRelay.service().onConfiguration(RelayFixture.configuration(1, 2, 0));
+    private static VirtualRelay newRelay(final HeldLimits limits) {
+        final VirtualRelay relay = new VirtualRelay(limits);
+        relay.advance(1);
+        relay.service().onConfiguration(RelayFixture.configuration(1, 2, 0));
+        return relay;
     }
 
     private VirtualCaller send(final VirtualRequest.Kind kind, final long deadlineMillis) {
@@ -236,5 +238,17 @@
             assertThat(mCallers.subList(limit, limit + MORE))
                     .allMatch(caller -> caller.unanswered() == 1);
         }
+
+        @Test
+        void areBoundedByTheSizeOfTheirBodies() {
+            final long limit = 2_000;
+            final int requests = 100;
+            mRelay = newRelay(new HeldLimits(requests, limit));
+            for (int i = 0; i < requests; i++) {
+                send(DEADLINE_MILLIS);
+                assertThat(mRelay.service().bufferedBytes()).isLessThanOrEqualTo(limit);
+            }
+            assertThat(mRelay.service().waiting()).isBetween(1, requests - 1);
+        }
     }
 }
