Tell callers to return later while replicas are full

What callers saw: a request that a full replica refused was answered 503 without Retry-After if no other request waited in the daemon, although no replica had room.

Cause: the forecast for the end of the queue took any usable replica for a free one. Now the chosen replica must have room. Found by reading the diff; no test shows the fault.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -215,7 +215,11 @@
         final long now = mService.nowNanos();
         final String upstream = call.task().upstream();
         final List<Replica> replicas = mReplicas.ofUpstream(upstream);
-        if (mQueue.isEmpty(upstream) && choose(call, replicas, now).isPresent()) {
+        final boolean hasRoom =
+                choose(call, mRateLimits.withPermit(replicas, now), now)
+                        .filter(choice -> choice.forecast().hasRoom())
+                        .isPresent();
+        if (mQueue.isEmpty(upstream) && hasRoom) {
             return PlaceForecast.UNKNOWN;
         }
         final PlacementPass pass = newPass(upstream, fastestRun(call), MAXIMUM_UNPLACED_PER_PASS);
