Ask in one place whether a call can still be refused

RelayCall.canBeRefused replaces hasResponseStarted and the three conditions that combined it with mayHaveRun (quarantine, quota, waiting requests). The forecast for the end of a queue compares replicas only if the queue is empty, a pass asks for the next free slot only if it uses it, the unused RunForecast.UNKNOWN is gone, and both ways to send in VirtualCaller share the head of the request. Behaviour is the same.

--- a/core/src/main/java/io/persimmonreel/core/admission/RunForecast.java
+++ b/core/src/main/java/io/persimmonreel/core/admission/RunForecast.java
@@ -7,7 +7,4 @@
  *     milliseconds
  * @param totalMillis the time to the end of the response in milliseconds
  */
-public record RunForecast(double firstMillis, double totalMillis) {
-    /** Predicts nothing; used for requests that were not compared with replicas yet. */
-    public static final RunForecast UNKNOWN = new RunForecast(0, 0);
-}
+public record RunForecast(double firstMillis, double totalMillis) {}
--- a/core/src/test/java/io/persimmonreel/core/placement/SimulatedFleet.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/SimulatedFleet.java
@@ -126,7 +126,7 @@
         private double mFirstEventMillis = -1;
         private double mSentMillis;
         private double mLastArrivalMillis;
-        private RunForecast mRun = RunForecast.UNKNOWN;
+        private RunForecast mRun;
         private Choice mChoice;
         private Daemon mDaemon;
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PlacementPass.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PlacementPass.java
@@ -54,11 +54,11 @@
         if (mCapacity.isEmpty()) {
             return closed.isEmpty() ? PlaceForecast.UNKNOWN : closed.forecast(mAhead);
         }
-        final PlaceForecast open = mCapacity.forecast(0);
         final PlaceForecast later = closed.forecast(0);
         if (closed.isEmpty() || Double.isInfinite(later.intervalMillis())) {
             return mCapacity.forecast(mAheadMillis);
         }
+        final PlaceForecast open = mCapacity.forecast(0);
         // The requests before it are divided by the rates at which replicas take them.
         final double openShare =
                 later.intervalMillis() / (later.intervalMillis() + open.intervalMillis());
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -68,10 +68,7 @@
         return mTask;
     }
 
-    /**
-     * Returns the modifiable set of the ids of replicas that the request should not be sent to
-     * again.
-     */
+    /** Returns the modifiable set of the ids of replicas that should not get the request again. */
     Set<String> excludedReplicas() {
         return mExcludedReplicas;
     }
@@ -128,8 +125,9 @@
         return mayHaveRun() ? ifMayHaveRun : HttpResponseStatus.SERVICE_UNAVAILABLE;
     }
 
-    boolean hasResponseStarted() {
-        return mCallerResponse.isStarted();
+    /** Returns whether the call can still be ended with the promise that it did not run. */
+    boolean canBeRefused() {
+        return !mayHaveRun() && !mCallerResponse.isStarted();
     }
 
     /** Sends the request to the chosen replica. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -215,11 +215,10 @@
         final long now = mService.nowNanos();
         final String upstream = call.task().upstream();
         final List<Replica> replicas = mReplicas.ofUpstream(upstream);
-        final boolean hasRoom =
-                choose(call, mRateLimits.withPermit(replicas, now), now)
+        if (mQueue.isEmpty(upstream)
+                && choose(call, mRateLimits.withPermit(replicas, now), now)
                         .filter(choice -> choice.forecast().hasRoom())
-                        .isPresent();
-        if (mQueue.isEmpty(upstream) && hasRoom) {
+                        .isPresent()) {
             return PlaceForecast.UNKNOWN;
         }
         final PlacementPass pass = newPass(upstream, fastestRun(call), MAXIMUM_UNPLACED_PER_PASS);
@@ -308,7 +307,7 @@
             final PlaceForecast place,
             final String reason) {
         final RelayCall call = request.call();
-        if (request.canBeRefused()) {
+        if (call.canBeRefused()) {
             refuse(call, reason, best, place);
             return true;
         }
@@ -385,7 +384,7 @@
     }
 
     private void onQuarantined(final RelayCall call, final ContentQuarantine.Refusal refusal) {
-        if (call.mayHaveRun() || call.hasResponseStarted()) {
+        if (!call.canBeRefused()) {
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, refusal.reason());
         } else {
             mLog.refusedWhileQueued(call, refusal.reason(), null, refusal.retryAfterMillis());
@@ -395,7 +394,7 @@
 
     private boolean onNoReplica(final WaitingRequest request, final long now) {
         final RelayCall call = request.call();
-        if (!request.canBeRefused()) {
+        if (!call.canBeRefused()) {
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, "no other replica is left");
             return true;
         }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -400,7 +400,7 @@
     @Override
     public void onQuotaExhausted(final RelayCall call, final long retryAfterMillis) {
         final String reason = "the quota of " + call.task().customerName() + " is used up";
-        if (call.mayHaveRun() || call.hasResponseStarted()) {
+        if (!call.canBeRefused()) {
             fail(call, HttpResponseStatus.BAD_GATEWAY, reason);
             return;
         }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestQueue.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestQueue.java
@@ -97,7 +97,7 @@
                 .flatMap(
                         requests ->
                                 requests.values().stream()
-                                        .filter(WaitingRequest::canBeRefused)
+                                        .filter(r -> r.call().canBeRefused())
                                         .max(Comparator.comparing(r -> r.position(nowNanos))));
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingRequest.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingRequest.java
@@ -20,11 +20,6 @@
         return QueuePosition.of(call.task().timeLeft(nowNanos), run, call.task().rank());
     }
 
-    /** Returns whether the request can be ended with the promise that it did not run. */
-    boolean canBeRefused() {
-        return !call.mayHaveRun() && !call.hasResponseStarted();
-    }
-
     long bodyBytes() {
         return call.task().request().body().readableBytes();
     }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualCaller.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualCaller.java
@@ -55,16 +55,7 @@
         final boolean chunked = request.body().length > 0 && random.nextInt(3) == 0;
         write(
                 bytes,
-                "POST "
-                        + request.kind().prefix()
-                        + request.id()
-                        + " HTTP/1.1\r\nHost: acme.example\r\nAuthorization: Bearer "
-                        + RelayFixture.KEY
-                        + "\r\n"
-                        + ATTEMPT
-                        + ": "
-                        + request.id()
-                        + "\r\n"
+                headOf(request)
                         + (random.nextInt(8) == 0 ? "Connection: close\r\n" : "")
                         + (random.nextInt(6) == 0 ? "Persimmonreel-Deadline: 400\r\n" : "")
                         + (chunked
@@ -86,16 +77,8 @@
         final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         write(
                 bytes,
-                "POST "
-                        + request.kind().prefix()
-                        + request.id()
-                        + " HTTP/1.1\r\nHost: acme.example\r\nAuthorization: Bearer "
-                        + RelayFixture.KEY
-                        + "\r\n"
-                        + ATTEMPT
-                        + ": "
-                        + request.id()
-                        + "\r\nPersimmonreel-Deadline: "
+                headOf(request)
+                        + "Persimmonreel-Deadline: "
                         + deadlineMillis
                         + "\r\nContent-Length: "
                         + request.body().length
@@ -104,6 +87,20 @@
         mChannel.receive(bytes.toByteArray());
     }
 
+    /** Returns the head of a request up to the fields that differ. */
+    private static String headOf(final VirtualRequest request) {
+        return "POST "
+                + request.kind().prefix()
+                + request.id()
+                + " HTTP/1.1\r\nHost: acme.example\r\nAuthorization: Bearer "
+                + RelayFixture.KEY
+                + "\r\n"
+                + ATTEMPT
+                + ": "
+                + request.id()
+                + "\r\n";
+    }
+
     /** Draws the body of a request. */
     static byte[] body(final String id, final SplittableRandom random) {
         final int kind = random.nextInt(6);
