Read warm-up and evacuation from the configuration and the settings

Two customers need bounds on requests to cold replicas and the evacuation of zones. The settings, the configuration and the replica entries carry the figures; nothing uses them yet.

--- a/core/src/main/java/io/persimmonreel/core/replica/ReplicaEntry.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/ReplicaEntry.java
@@ -11,6 +11,8 @@
  * @param slots the requests that it runs at the same time, at least 1
  * @param draining whether it accepts no new requests
  * @param startedMillis when it started, milliseconds since the Unix epoch, 0 if unknown
+ * @param warmUpLeftMillis how long it stays cold from the time at which it announced this, in
+ *     milliseconds, 0 if it is warm
  */
 public record ReplicaEntry(
         String id,
@@ -20,7 +22,32 @@
         String zone,
         int slots,
         boolean draining,
-        long startedMillis) {
+        long startedMillis,
+        double warmUpLeftMillis) {
+    /**
+     * Creates the entry of a warm replica.
+     *
+     * @param id the id of the replica
+     * @param upstream the upstream that it belongs to
+     * @param host its IP address
+     * @param port its port
+     * @param zone its availability zone
+     * @param slots the requests that it runs at the same time, at least 1
+     * @param draining whether it accepts no new requests
+     * @param startedMillis when it started, milliseconds since the Unix epoch, 0 if unknown
+     */
+    public ReplicaEntry(
+            final String id,
+            final String upstream,
+            final String host,
+            final int port,
+            final String zone,
+            final int slots,
+            final boolean draining,
+            final long startedMillis) {
+        this(id, upstream, host, port, zone, slots, draining, startedMillis, 0);
+    }
+
     /**
      * Returns the address of the replica.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryFormat.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryFormat.java
@@ -2,6 +2,7 @@
 
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.route.RelayConfiguration;
+import java.util.Optional;
 
 /** Decodes the documents of a directory. */
 public interface DirectoryFormat {
@@ -21,6 +22,17 @@
      */
     boolean isReplica(String name);
 
+    /**
+     * Tells whether a document asks that no requests are sent to the replicas of an availability
+     * zone, for as long as the document exists.
+     *
+     * @param name the document's name
+     * @return the zone, empty if it is another kind of document
+     */
+    default Optional<String> evacuatedZone(final String name) {
+        return Optional.empty();
+    }
+
     /**
      * Decodes the configuration.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryListener.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryListener.java
@@ -3,6 +3,7 @@
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.route.RelayConfiguration;
 import java.util.Collection;
+import java.util.Set;
 
 /** Receives the configuration and the replicas when they change. */
 public interface DirectoryListener {
@@ -19,4 +20,11 @@
      * @param entries the entries of all replicas
      */
     void onReplicas(Collection<ReplicaEntry> entries);
+
+    /**
+     * Reports that a zone was evacuated or taken back.
+     *
+     * @param zones the availability zones to whose replicas no requests may be sent
+     */
+    default void onEvacuatedZones(final Set<String> zones) {}
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.persimmonreel.core.quota.QuotaTolerance;
+import io.persimmonreel.core.warmup.WarmUpBound;
 import io.persimmonreel.daemon.settings.SettingsException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -13,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Holds the settings of a relay.
@@ -37,6 +39,9 @@
  *     that
  * @param quotaTolerance the tolerated use beyond the quotas of customers
  * @param heldLimits the bounds on requests that wait for a replica
+ * @param warmUpBound the bound on requests to cold replicas, empty if there is none
+ * @param evacuation the time within which an evacuated availability zone must stop receiving new
+ *     requests, empty if zones are not evacuated
  */
 public record RelaySettings(
         String name,
@@ -54,7 +59,9 @@
         double retryRatio,
         double retrySlack,
         QuotaTolerance quotaTolerance,
-        HeldLimits heldLimits) {
+        HeldLimits heldLimits,
+        Optional<WarmUpBound> warmUpBound,
+        Optional<Duration> evacuation) {
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
@@ -135,8 +142,20 @@
                                 Math.max(
                                         1,
                                         reader.number(
-                                                "heldBodyBytes",
-                                                HeldLimits.STANDARD.bodyBytes()))));
+                                                "heldBodyBytes", HeldLimits.STANDARD.bodyBytes()))),
+                warmUpBound(reader),
+                root.hasNonNull("evacuateMillis")
+                        ? Optional.of(Duration.ofMillis((long) reader.number("evacuateMillis")))
+                        : Optional.empty());
+    }
+
+    private static Optional<WarmUpBound> warmUpBound(final Reader reader) throws SettingsException {
+        return reader.root().hasNonNull("warmupOvershoot")
+                ? Optional.of(
+                        new WarmUpBound(
+                                reader.number("warmupOvershoot"),
+                                reader.number("warmupTolerance", 0)))
+                : Optional.empty();
     }
 
     /** Reads fields of the settings object and names the field in errors. */
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -289,7 +289,9 @@
                 1.0,
                 50,
                 QuotaTolerance.NONE,
-                HeldLimits.STANDARD);
+                HeldLimits.STANDARD,
+                Optional.empty(),
+                Optional.empty());
     }
 
     private static DirectorySource.Document document(final String name, final String content) {
