Reject responses with an invalid status and parts that end early

A status outside 100 to 599 (000, 099, 600, 999, 2000) reached callers as a response. It now fails the exchange: 502, or another replica where the request may run twice, and the connection is closed. A response without a length that ended in order while the request was still being written, with a reset a few ms later, looked whole; its end now waits for the request.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaResponses.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaResponses.java
@@ -14,8 +14,16 @@
      */
     static final int MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
+    private static final int LOWEST_STATUS = 100;
+    private static final int HIGHEST_STATUS = 599;
+
     private ReplicaResponses() {}
 
+    /** Returns whether a response can have a status, whether or not the status is known. */
+    static boolean isValid(final HttpResponseStatus status) {
+        return status.code() >= LOWEST_STATUS && status.code() <= HIGHEST_STATUS;
+    }
+
     /** Returns whether a response is a successful stream of events. */
     static boolean isEventStream(final HttpResponse response) {
         final String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UnrequestedKind.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UnrequestedKind.java
@@ -10,6 +10,8 @@
     UNATTRIBUTED("unattributed"),
     /** A part of a head that was joined with the head of the next response; the exchange fails. */
     JOINED_HEAD("joined-head"),
+    /** A response whose status no response can have; the exchange fails. */
+    INVALID_STATUS("invalid-status"),
     /** A response or other bytes on an idle connection, which is closed. */
     IDLE("idle"),
     /** A response or other bytes after the last response of a connection that is not kept. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -30,8 +30,6 @@
  * methods run on the event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
-    private static final int MISDIRECTED_STATUS = 421;
-
     /**
      * The maximum number of interim responses and responses to other attempts before the response
      * to a request; a replica sends one of each at most.
@@ -44,24 +42,7 @@
     /** The maximum time until the end of an ignored response. */
     private static final long MAXIMUM_IGNORED_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    private static final ExchangeListener IGNORING_LISTENER =
-            new ExchangeListener() {
-                @Override
-                public void onWritten() {}
-
-                @Override
-                public void onHeaders(
-                        final HttpResponse response, final ReplicaHeaders replicaHeaders) {}
-
-                @Override
-                public void onBody(final ByteBuf bytes) {}
-
-                @Override
-                public void onEnd() {}
-
-                @Override
-                public void onFailed(final String reason) {}
-            };
+    private static final ExchangeListener IGNORING_LISTENER = new IgnoringListener();
 
     /** The maximum number of attempts that are remembered; the oldest is forgotten first. */
     private static final int MAXIMUM_REMEMBERED_ATTEMPTS = 16;
@@ -86,6 +67,10 @@
     private boolean mUsedBefore;
     private boolean mEndOfInput;
     private boolean mEndsWithConnection;
+
+    /** Whether a response without a length has ended and the request is still being written. */
+    private boolean mAwaitsWrite;
+
     private long mIdleSinceNanos;
     private long mIdleLimitNanos;
 
@@ -160,6 +145,7 @@
         mWritten = false;
         mResponseStarted = false;
         mEndsWithConnection = false;
+        mAwaitsWrite = false;
         mSkippingResponse = false;
         mSkippedResponses = 0;
         mSkippedBytes = 0;
@@ -169,12 +155,19 @@
         mRecord.begin(attemptId, mPool.nowNanos());
         listener.onWritten();
         mChannel.writeAndFlush(request)
-                .addListener(
-                        written -> {
-                            if (mListener == listener) {
-                                mWritten = written.isSuccess();
-                            }
-                        });
+                .addListener(written -> onRequestWritten(listener, written.isSuccess()));
+    }
+
+    private void onRequestWritten(final ExchangeListener listener, final boolean success) {
+        if (mListener != listener) {
+            return;
+        }
+        mWritten = success;
+        if (mAwaitsWrite && success) {
+            finish();
+        } else if (mAwaitsWrite) {
+            fail("the replica did not read the request", UpstreamExchange.End.RESET);
+        }
     }
 
     /**
@@ -268,7 +261,7 @@
 
     @Override
     public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
-        if (event instanceof ChannelInputShutdownEvent) {
+        if (event instanceof ChannelInputShutdownEvent && !mAwaitsWrite) {
             fail("the replica closed the connection", UpstreamExchange.End.END_OF_INPUT);
         }
     }
@@ -293,6 +286,11 @@
             fail("the replica switched protocols without being asked");
             return;
         }
+        if (!ReplicaResponses.isValid(response.status())) {
+            mRecord.onUnrequested(UnrequestedKind.INVALID_STATUS, response, null, mPool.nowNanos());
+            fail("the replica sent the invalid status " + response.status().code());
+            return;
+        }
         if (JoinedHead.isIn(response)) {
             mRecord.onUnrequested(UnrequestedKind.JOINED_HEAD, response, null, mPool.nowNanos());
             fail("the head of the answer contains another answer");
@@ -374,7 +372,7 @@
 
     private static boolean isRefusal(
             final HttpResponse response, final ReplicaHeaders replicaHeaders) {
-        return replicaHeaders.notRun() || response.status().code() == MISDIRECTED_STATUS;
+        return replicaHeaders.notRun() || ReplicaResponses.isMisdirected(response.status());
     }
 
     private void rememberAttempt() {
@@ -433,6 +431,12 @@
             fail("the connection did not end in order", connectionEnd());
             return;
         }
+        if (mEndsWithConnection && !mWritten && !isIgnoring()) {
+            // A replica that is about to reset the connection may end its side first, and only the
+            // rest of the request shows which it is.
+            mAwaitsWrite = true;
+            return;
+        }
         final UpstreamExchange.End end =
                 mEndsWithConnection ? connectionEnd() : UpstreamExchange.End.COMPLETE;
         endExchange(
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/EarlyResponseTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/EarlyResponseTest.java
@@ -31,6 +31,7 @@
 
     private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
     private static final long READ_PAUSE_MILLIS = 200;
+    private static final long RESET_DELAY_MILLIS = 20;
     private static final String END = "0\r\n\r\n";
     private static final String TEXT = "Content-Type: text/plain\r\n";
     private static final String EVENTS = "Content-Type: text/event-stream\r\n";
@@ -46,6 +47,17 @@
         socket.close();
     }
 
+    /** Ends the output, and resets the connection before the request is written. */
+    private static void endOutputAndReset(final Socket socket) throws IOException {
+        socket.shutdownOutput();
+        try {
+            TimeUnit.MILLISECONDS.sleep(RESET_DELAY_MILLIS);
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        reset(socket);
+    }
+
     private static void readRequestAndClose(final Socket socket) throws IOException {
         socket.shutdownOutput();
         socket.getInputStream().skipNBytes(REQUEST_BYTES);
@@ -147,6 +159,24 @@
         }
     }
 
+    /** Guards against a part of a response that is taken for the whole before the reset arrives. */
+    @Nested
+    class ThatEndsInOrderBeforeTheReset {
+        @Test
+        void isNoWholeResponse() throws Exception {
+            assertThat(request("/charge/1", TEXT, "half", EarlyResponseTest::endOutputAndReset))
+                    .startsWith("HTTP/1.1 502")
+                    .doesNotContain("half");
+        }
+
+        @Test
+        void isNoWholeEventStream() throws Exception {
+            assertThat(request("/notes/1", EVENTS, event(1), EarlyResponseTest::endOutputAndReset))
+                    .contains("data: e1")
+                    .doesNotEndWith(END);
+        }
+    }
+
     @Nested
     class ThatEndsInOrder {
         @Test
