Detect a body that is filled up with the next response

The status line and the attempt id that follows now fail the exchange. A status line alone is text about HTTP and passes; what can't be told is in docs/design.md.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
@@ -75,6 +75,11 @@
                 PushBackTime.parseNanos(headers.getAll(HttpHeaderNames.RETRY_AFTER)));
     }
 
+    @Override
+    public String attemptField() {
+        return ATTEMPT;
+    }
+
     /**
      * Returns the time in whole seconds, rounded up, since the HTTP standard does not allow
      * fractions.
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDialect.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDialect.java
@@ -31,6 +31,13 @@
      */
     ReplicaHeaders readResponse(HttpResponse response);
 
+    /**
+     * Returns the name of the header field with the attempt id.
+     *
+     * @return the name as replicas write it
+     */
+    String attemptField();
+
     /**
      * Formats the value of the Retry-After header field.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UnrequestedKind.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UnrequestedKind.java
@@ -10,6 +10,10 @@
     UNATTRIBUTED("unattributed"),
     /** A part of a head that was joined with the head of the next response; the exchange fails. */
     JOINED_HEAD("joined-head"),
+    /**
+     * The head of a response inside the body of a response that was cut off; the exchange fails.
+     */
+    JOINED_BODY("joined-body"),
     /** A response whose status no response can have; the exchange fails. */
     INVALID_STATUS("invalid-status"),
     /** A response or other bytes on an idle connection, which is closed. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -61,6 +61,7 @@
     private boolean mSkippingResponse;
     private int mSkippedResponses;
     private int mSkippedBytes;
+    private JoinedBody mJoinedBody;
     private boolean mReusable;
     private int mIgnoredBytes;
     private long mIgnoredSinceNanos;
@@ -317,17 +318,11 @@
             fail("the answer does not show whose it is");
             return;
         }
-        mRecord.exchange()
-                .onResponse(
-                        response,
-                        replicaHeaders,
-                        ResponseFraming.of(response, mHeadRequest),
-                        mPool.nowNanos());
+        final ResponseFraming framing = ResponseFraming.of(response, mHeadRequest);
+        mRecord.exchange().onResponse(response, replicaHeaders, framing, mPool.nowNanos());
         mResponseStarted = true;
-        mEndsWithConnection =
-                !HttpUtil.isTransferEncodingChunked(response)
-                        && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                        && !isAlwaysEmpty(response);
+        mEndsWithConnection = framing == ResponseFraming.CONNECTION_END;
+        mJoinedBody = new JoinedBody(mDialect.attemptField());
         mReusable = isReusable(response);
         mIdleLimitNanos = KeepAliveHeader.idleLimitNanos(response.headers());
         mListener.onHeaders(response, replicaHeaders);
@@ -410,6 +405,13 @@
                 return;
             }
         }
+        if (mJoinedBody.isJoinedBy(bytes)
+                || content instanceof LastHttpContent
+                        && mJoinedBody.isContinuedBy(undecodedBytes())) {
+            mRecord.onUnrequestedBytes(UnrequestedKind.JOINED_BODY, mPool.nowNanos());
+            fail("the body of the answer contains another answer");
+            return;
+        }
         if (bytes.isReadable()) {
             mListener.onBody(bytes);
         }
@@ -418,13 +420,6 @@
         }
     }
 
-    private boolean isAlwaysEmpty(final HttpResponse response) {
-        final int status = response.status().code();
-        return mHeadRequest
-                || status == HttpResponseStatus.NO_CONTENT.code()
-                || status == HttpResponseStatus.NOT_MODIFIED.code();
-    }
-
     private void finish() {
         if (mEndsWithConnection && !mEndOfInput) {
             // The decoder ends a response without a length whenever the channel is closed.
@@ -447,7 +442,7 @@
         // If the response arrived before the request was fully written, the replica would read the
         // rest of the request as part of the next one. Bytes after the response would become a
         // part of the next response.
-        if (mReusable && mWritten && !hasUndecodedBytes()) {
+        if (mReusable && mWritten && !undecodedBytes().isReadable()) {
             mUsedBefore = true;
             // The caller may have paused reading in the read in which the response ended.
             setReading(true);
@@ -464,8 +459,8 @@
         }
     }
 
-    private boolean hasUndecodedBytes() {
-        return mChannel.pipeline().get(UpstreamResponseDecoder.class).hasUndecodedBytes();
+    private ByteBuf undecodedBytes() {
+        return mChannel.pipeline().get(UpstreamResponseDecoder.class).undecodedBytes();
     }
 
     private UpstreamExchange.End connectionEnd() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamResponseDecoder.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamResponseDecoder.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.daemon.relay;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
@@ -30,6 +31,11 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns the bytes that have arrived and are not decoded yet, which must not be changed. */
+    ByteBuf undecodedBytes() {
+        return internalBuffer();
+    }
+
     @Override
     public void channelRead(final ChannelHandlerContext context, final Object message)
             throws Exception {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UnexpectedErrorTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UnexpectedErrorTest.java
@@ -36,6 +36,11 @@
             return mDialect.readResponse(response);
         }
 
+        @Override
+        public String attemptField() {
+            return mDialect.attemptField();
+        }
+
         @Override
         public String retryAfter(final long millis) {
             return mDialect.retryAfter(millis);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionHarness.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/UpstreamConnectionHarness.java
@@ -229,6 +229,11 @@
                     headers.retryAfterNanos());
         }
 
+        @Override
+        public String attemptField() {
+            return mDialect.attemptField();
+        }
+
         @Override
         public String retryAfter(final long millis) {
             return mDialect.retryAfter(millis);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualFaults.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualFaults.java
@@ -66,6 +66,11 @@
                 return dialect.readResponse(response);
             }
 
+            @Override
+            public String attemptField() {
+                return dialect.attemptField();
+            }
+
             @Override
             public String retryAfter(final long millis) {
                 measureDepth();
