Keep replicas of evacuated availability zones out of every choice

The operator may evacuate a zone, after which its replicas must get nothing, whatever their entries say.

ReplicaRegistry holds the evacuated zones and marks the replicas in them, also those that start later. Replica.isWithdrawn joins evacuated and draining, and decides waitMillis, the last resort in Placement and the division of slots. The slots of an evacuated zone no longer count when Placement decides how much to borrow from other daemons. PlaceForecast.INDEFINITE gives callers a return time while the end of an evacuation is what they wait for.

ReplicaRegistryTest, SlotSharesTest, PlacementTest, SpareCapacityTest and ReturnScheduleTest pass.

--- a/core/src/main/java/io/persimmonreel/core/admission/PlaceForecast.java
+++ b/core/src/main/java/io/persimmonreel/core/admission/PlaceForecast.java
@@ -13,6 +13,13 @@
     /** The forecast if no replica is known that will take requests. */
     public static final PlaceForecast UNKNOWN = new PlaceForecast(0, 0, 0);
 
+    /**
+     * The forecast if replicas will take requests again, but not before an event whose time is not
+     * known, like the end of an evacuation.
+     */
+    public static final PlaceForecast INDEFINITE =
+            new PlaceForecast(Double.POSITIVE_INFINITY, 0, 0);
+
     /**
      * Returns the forecast of a request that may use the slots of either of two forecasts.
      *
--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -147,7 +147,7 @@
         final List<Replica> considered = new ArrayList<>(replicas.size());
         final List<Replica> lastResort = new ArrayList<>();
         for (final Replica replica : replicas) {
-            if (replica.entry().draining() || excluded.contains(replica.entry().id())) {
+            if (replica.isWithdrawn() || excluded.contains(replica.entry().id())) {
                 continue;
             }
             if (!replica.isOpen(nowNanos)) {
@@ -390,8 +390,14 @@
         double load = 0;
         int slots = 0;
         for (final Replica replica : replicas) {
-            load += replica.load(nowNanos);
-            slots += replica.entry().slots();
+            // The slots of an evacuated zone are a large part of all, and none of them is free.
+            if (!replica.isEvacuated()) {
+                load += replica.load(nowNanos);
+                slots += replica.entry().slots();
+            }
+        }
+        if (slots == 0) {
+            return BorrowingLimits.UNLIMITED;
         }
         final double scarcity =
                 Math.max(
--- a/core/src/main/java/io/persimmonreel/core/placement/SlotShares.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/SlotShares.java
@@ -74,7 +74,7 @@
     }
 
     private static boolean isEnding(final Replica replica) {
-        return replica.entry().draining() || replica.availability().isLeaving();
+        return replica.isWithdrawn() || replica.availability().isLeaving();
     }
 
     /**
--- a/core/src/main/java/io/persimmonreel/core/replica/Replica.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/Replica.java
@@ -22,6 +22,7 @@
     private final ReplicaAvailability mAvailability;
     private final long mIdHash;
     private volatile ReplicaEntry mEntry;
+    private volatile boolean mEvacuated;
     private volatile int mPeerInFlight;
     private volatile int mPeerPendingPrefillTokens;
     private volatile int mStatedLoad;
@@ -66,6 +67,34 @@
         mEntry = entry;
     }
 
+    /**
+     * Sets whether the operator asks that the replica's availability zone gets no requests.
+     *
+     * @param evacuated true from the evacuation of the zone until its end
+     */
+    void onEvacuated(final boolean evacuated) {
+        mEvacuated = evacuated;
+    }
+
+    /**
+     * Returns whether the directory says that the replica gets no new requests, also as a last
+     * resort.
+     *
+     * @return true while its entry is draining or its zone is evacuated
+     */
+    public boolean isWithdrawn() {
+        return mEvacuated || mEntry.draining();
+    }
+
+    /**
+     * Returns whether the availability zone of the replica is evacuated.
+     *
+     * @return true until the evacuation ends
+     */
+    public boolean isEvacuated() {
+        return mEvacuated;
+    }
+
     /**
      * Returns the hash of the replica's id, which is the same on all daemons.
      *
@@ -94,11 +123,11 @@
     }
 
     /**
-     * Returns whether the replica takes new requests, by its entry and by what it said in
-     * responses. Its health and its rate limit are apart from that.
+     * Returns whether the replica takes new requests, by its entry, by the evacuation of its zone
+     * and by what it said in responses. Its health and its rate limit are apart from that.
      *
      * @param nowNanos the current monotonic time in nanoseconds
-     * @return false while it is draining, leaving or pushed back
+     * @return false while it is draining, evacuated, leaving or pushed back
      */
     public boolean isOpen(final long nowNanos) {
         return waitMillis(nowNanos) <= 0;
@@ -108,11 +137,11 @@
      * Returns the time until the replica takes new requests.
      *
      * @param nowNanos the current monotonic time in nanoseconds
-     * @return the time in milliseconds, 0 if it takes them now, infinite if it is draining or
-     *     leaving
+     * @return the time in milliseconds, 0 if it takes them now, infinite if it is draining,
+     *     evacuated or leaving
      */
     public double waitMillis(final long nowNanos) {
-        return mEntry.draining() ? Double.POSITIVE_INFINITY : mAvailability.waitMillis(nowNanos);
+        return isWithdrawn() ? Double.POSITIVE_INFINITY : mAvailability.waitMillis(nowNanos);
     }
 
     /**
--- a/core/src/main/java/io/persimmonreel/core/replica/ReplicaRegistry.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/ReplicaRegistry.java
@@ -7,13 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Holds all known replicas by id and by upstream.
  *
  * <p>Readers see an immutable snapshot that writers replace (copy-on-write). A replica that
  * restarts under its old id is a new replica without measurements. A replica whose entry is gone
- * for a while keeps what it said about taking requests.
+ * for a while keeps what it said about taking requests. The evacuation of an availability zone
+ * holds for all its replicas, also for those that are added later.
  */
 public final class ReplicaRegistry {
     /** The maximum number of starts of replicas that are remembered without an entry. */
@@ -28,6 +30,7 @@
                 }
             };
 
+    private volatile Set<String> mEvacuatedZones = Set.of();
     private volatile Snapshot mSnapshot = new Snapshot(Map.of(), Map.of());
 
     /**
@@ -41,6 +44,7 @@
         final Map<String, List<Replica>> byUpstream = new HashMap<>();
         for (final ReplicaEntry entry : entries) {
             final Replica replica = reuseOrCreate(before.get(entry.id()), entry);
+            replica.onEvacuated(isEvacuated(entry));
             byId.put(entry.id(), replica);
             byUpstream.computeIfAbsent(entry.upstream(), name -> new ArrayList<>()).add(replica);
         }
@@ -48,11 +52,54 @@
         mSnapshot = new Snapshot(byId, byUpstream);
     }
 
+    /**
+     * Replaces the set of evacuated availability zones.
+     *
+     * @param zones the zones whose replicas get no requests
+     */
+    public synchronized void evacuate(final Set<String> zones) {
+        mEvacuatedZones = Set.copyOf(zones);
+        all().forEach(replica -> replica.onEvacuated(isEvacuated(replica.entry())));
+    }
+
+    /**
+     * Returns the evacuated availability zones.
+     *
+     * @return the zones whose replicas get no requests
+     */
+    public Set<String> evacuatedZones() {
+        return mEvacuatedZones;
+    }
+
+    /**
+     * Returns whether the availability zone of a replica is evacuated. This also holds for an entry
+     * that was replaced since, for example by a restart.
+     *
+     * @param entry the entry of the replica
+     * @return true if no request may be sent to it
+     */
+    public boolean isEvacuated(final ReplicaEntry entry) {
+        return mEvacuatedZones.contains(entry.zone());
+    }
+
+    /**
+     * Returns whether the end of an evacuation has to come before an upstream takes requests.
+     *
+     * @param upstream the upstream's name
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return true if some of its replicas are evacuated, and all others are draining or leaving
+     */
+    public boolean awaitsEvacuationEnd(final String upstream, final long nowNanos) {
+        final List<Replica> replicas = ofUpstream(upstream);
+        return replicas.stream().anyMatch(Replica::isEvacuated)
+                && replicas.stream().allMatch(r -> Double.isInfinite(r.waitMillis(nowNanos)));
+    }
+
     /**
      * Returns the replicas of an upstream.
      *
      * @param upstream the upstream's name
-     * @return the replicas, draining ones included
+     * @return the replicas, draining and evacuated ones included
      */
     public List<Replica> ofUpstream(final String upstream) {
         return mSnapshot.byUpstream().getOrDefault(upstream, List.of());
--- a/core/src/test/java/io/persimmonreel/core/admission/ReturnScheduleTest.java
+++ b/core/src/test/java/io/persimmonreel/core/admission/ReturnScheduleTest.java
@@ -40,6 +40,12 @@
             assertThat(mSchedule.delayMillis(place, 2_500, 0)).isEqualTo(3_000);
         }
 
+        /** The end of an evacuation is not known, so the caller returns as late as it would. */
+        @Test
+        void returnsLateIfTheWaitIsIndefinite() {
+            assertThat(mSchedule.delayMillis(PlaceForecast.INDEFINITE, 3_000, 0)).isEqualTo(1_000);
+        }
+
         @Test
         void returnsLateIfThisDaemonHasNoShare() {
             final PlaceForecast place =
--- a/core/src/test/java/io/persimmonreel/core/admission/SpareCapacityTest.java
+++ b/core/src/test/java/io/persimmonreel/core/admission/SpareCapacityTest.java
@@ -4,7 +4,9 @@
 
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
+import io.persimmonreel.core.replica.ReplicaRegistry;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -44,6 +46,15 @@
                     .isFalse();
         }
 
+        @Test
+        void ignoresEvacuatedReplicas() {
+            final ReplicaRegistry registry = new ReplicaRegistry();
+            registry.replace(List.of(replica("a", false, 0).entry()));
+            assertThat(mSpareCapacity.hasRoom(registry.all(), 0)).isTrue();
+            registry.evacuate(Set.of("zone"));
+            assertThat(mSpareCapacity.hasRoom(registry.all(), 0)).isFalse();
+        }
+
         @Test
         void isFalseWithoutReplicas() {
             assertThat(mSpareCapacity.hasRoom(List.of(), 0)).isFalse();
--- a/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -6,6 +6,7 @@
 import io.persimmonreel.core.placement.WorkSize.PromptPart;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
+import io.persimmonreel.core.replica.ReplicaRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -276,4 +277,58 @@
             assertThat(choose(500)).isPresent();
         }
     }
+
+    /** Tests replicas whose availability zone is evacuated. */
+    @Nested
+    class EvacuatedReplicas {
+        private final ReplicaRegistry mRegistry = new ReplicaRegistry();
+
+        private Optional<Choice> choose() {
+            return mPlacement.choose(session(1), mRegistry.ofUpstream("llm"), Set.of(), 15_000, 0);
+        }
+
+        private Replica add(final String id, final String zone) {
+            final List<ReplicaEntry> entries =
+                    new ArrayList<>(mRegistry.all().stream().map(Replica::entry).toList());
+            entries.add(new ReplicaEntry(id, "llm", "10.0.0.1", 80, zone, SLOTS, false, 1));
+            mRegistry.replace(entries);
+            return mRegistry.find(id).orElseThrow();
+        }
+
+        @Test
+        void areNotChosenWhileAnotherIsFull() {
+            add("a", "z1");
+            final Replica other = add("b", "z2");
+            other.onPeerLoad(3 * SLOTS, 0);
+            mRegistry.evacuate(Set.of("z1"));
+            assertThat(choose().orElseThrow().replica()).isSameAs(other);
+        }
+
+        /** A leaving replica is a last resort, unless its zone is evacuated. */
+        @Test
+        void areNoLastResort() {
+            add("a", "z1").availability().onLeaving(1_000, 0);
+            assertThat(choose()).isPresent();
+            mRegistry.evacuate(Set.of("z1"));
+            assertThat(choose()).isEmpty();
+        }
+
+        /**
+         * The slots of an evacuated zone are not free. If they were counted, daemons would borrow
+         * slots of other daemons although the rest of the fleet is full.
+         */
+        @Test
+        void doNotHideThatTheOthersAreFull() {
+            add("a", "z1");
+            final Replica other = add("b", "z2");
+            other.onPeerLoad(9, 0);
+            mRegistry.evacuate(Set.of("z1"));
+            mPlacement.onShares(SlotShares.divide("d1", List.of("d0"), 2, mRegistry.byUpstream()));
+            other.onSent(0);
+            for (int i = 0; i < SLOTS; i++) {
+                other.onSent(0);
+            }
+            assertThat(choose().orElseThrow().withheld()).isGreaterThan(SLOTS);
+        }
+    }
 }
--- a/core/src/test/java/io/persimmonreel/core/placement/SlotSharesTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/SlotSharesTest.java
@@ -4,9 +4,11 @@
 
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
+import io.persimmonreel.core.replica.ReplicaRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class SlotSharesTest {
@@ -72,6 +74,29 @@
         }
     }
 
+    /** Guards against slots of a zone that stay without an owner after it is taken back. */
+    @Test
+    void excludesAnEvacuatedZoneUntilItIsTakenBack() {
+        final ReplicaRegistry registry = new ReplicaRegistry();
+        registry.replace(
+                List.of(
+                        new ReplicaEntry("a", "llm", "10.0.0.1", 1, "z1", 40, false, 1),
+                        new ReplicaEntry("b", "llm", "10.0.0.2", 1, "z2", 40, false, 1)));
+        final Replica evacuated = registry.find("a").orElseThrow();
+        for (final String self : mDaemons) {
+            registry.evacuate(Set.of());
+            final int before = divide(self, registry).slots(evacuated);
+            registry.evacuate(Set.of("z1"));
+            assertThat(divide(self, registry).slots(evacuated)).isZero();
+            registry.evacuate(Set.of());
+            assertThat(divide(self, registry).slots(evacuated)).isEqualTo(before).isPositive();
+        }
+    }
+
+    private SlotShares divide(final String self, final ReplicaRegistry registry) {
+        return SlotShares.divide(self, mDaemons, DAEMONS, registry.byUpstream());
+    }
+
     /**
      * With fewer than two slots per daemon, most requests would find no free slot of their daemon.
      */
