Read evacuations of zones with the configuration

Evacuations are reported before the replicas and the configuration of the same response, and their ends after them, so that nothing is placed by half of a response. The bound on evacuations also limits the time between calls to the directory.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -32,6 +32,7 @@
     private final DirectoryFormat mFormat;
     private final DirectoryListener mListener;
     private final EventLog mLog;
+    private final ZoneEvacuations mEvacuations;
     private final Map<String, byte[]> mContents = new HashMap<>();
     private final Map<String, ReplicaEntry> mReplicas = new HashMap<>();
     private final Map<String, Long> mAbsentSince = new HashMap<>();
@@ -50,6 +51,7 @@
         mFormat = format;
         mListener = listener;
         mLog = log;
+        mEvacuations = new ZoneEvacuations(format, listener, log);
     }
 
     /**
@@ -81,7 +83,9 @@
             return;
         }
         mRevision = revision;
+        mEvacuations.begin(documents, revision);
         applyAll(documents, false);
+        mEvacuations.endRemoved(documents, revision);
     }
 
     /**
@@ -102,6 +106,7 @@
             return;
         }
         mRevision = revision;
+        mEvacuations.begin(documents, revision);
         final Set<String> present = new HashSet<>();
         documents.forEach(document -> present.add(document.name()));
         boolean replicasChanged = false;
@@ -116,6 +121,7 @@
             }
         }
         applyAll(documents, replicasChanged);
+        mEvacuations.endAbsent(present, revision);
     }
 
     /**
@@ -154,6 +160,7 @@
                         contents.add(content);
                     }
                 });
+        mEvacuations.copyTo(names, contents);
         return new DirectoryCopy(mRevision, names, contents);
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -30,8 +30,8 @@
  *     that can't be reached
  * @param directoryAddress the address of the directory
  * @param grace the time between the signal to stop and the end of the process
- * @param propagation the time within which a draining replica must stop receiving new requests, and
- *     a new configuration must be in force
+ * @param propagation the time within which a draining replica and an evacuated zone must stop
+ *     receiving new requests, and a new configuration must be in force
  * @param recovery the time after a failure of connections within which a daemon must know all
  *     earlier changes
  * @param retryRatio the number of retries that each request adds to the budget of the fleet
@@ -113,6 +113,7 @@
         final double drain = reader.number("drainMillis");
         final double propagation = reader.number("propagationMillis", drain);
         final double recovery = propagation * STANDARD_RECOVERY_FACTOR;
+        final Optional<Duration> evacuation = evacuation(reader);
         return new RelaySettings(
                 reader.text("name"),
                 reader.text("zone"),
@@ -124,7 +125,7 @@
                 reader.flag("firstStart"),
                 reader.address("directoryAddress"),
                 Duration.ofMillis((long) (reader.number("graceSeconds") * 1_000)),
-                Duration.ofMillis((long) Math.min(drain, propagation)),
+                shorter(Duration.ofMillis((long) Math.min(drain, propagation)), evacuation),
                 Duration.ofMillis((long) reader.number("recoveryMillis", recovery)),
                 reader.number("retryRatio"),
                 reader.number("retrySlack"),
@@ -144,9 +145,17 @@
                                         reader.number(
                                                 "heldBodyBytes", HeldLimits.STANDARD.bodyBytes()))),
                 warmUpBound(reader),
-                root.hasNonNull("evacuateMillis")
-                        ? Optional.of(Duration.ofMillis((long) reader.number("evacuateMillis")))
-                        : Optional.empty());
+                evacuation);
+    }
+
+    private static Optional<Duration> evacuation(final Reader reader) throws SettingsException {
+        return reader.root().hasNonNull("evacuateMillis")
+                ? Optional.of(Duration.ofMillis((long) reader.number("evacuateMillis")))
+                : Optional.empty();
+    }
+
+    private static Duration shorter(final Duration bound, final Optional<Duration> other) {
+        return other.filter(time -> time.compareTo(bound) < 0).orElse(bound);
     }
 
     private static Optional<WarmUpBound> warmUpBound(final Reader reader) throws SettingsException {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelaySettingsTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -45,6 +46,18 @@
         assertThat(read(TEXT.replace("2000", "1000")).propagation()).hasMillis(1_000);
     }
 
+    /** An evacuation is a change of the directory, so its bound also limits calls to it. */
+    @Test
+    void readsTheBoundOfEvacuations() throws Exception {
+        assertThat(read(TEXT).evacuation()).isEmpty();
+        final RelaySettings settings =
+                read(TEXT.replace("\"more\": 1", "\"evacuateMillis\": 1200"));
+        assertThat(settings.evacuation()).hasValue(Duration.ofMillis(1_200));
+        assertThat(settings.propagation()).hasMillis(1_200);
+        final RelaySettings longer = read(TEXT.replace("\"more\": 1", "\"evacuateMillis\": 5000"));
+        assertThat(longer.propagation()).hasMillis(1_500);
+    }
+
     @Test
     void derivesBoundsThatAreAbsent() throws Exception {
         final RelaySettings settings =
