Place requests anew that wait for a connection to an evacuated zone

A connection may be established long after a replica was chosen, so a request could reach a zone after its evacuation. Such requests are taken back at once and go through the queue again; a connection that is ready for one in spite of that is closed unused. They keep their attempts and the retry budget, and don't exclude the replica. RelayCall.abandonReplica no longer excludes the replica itself; its only other caller, the check for stalls, does so as before.

Requests without any replica outside evacuated zones wait and get a return time with the refusal. Without evacuations they get none, as before.

The random test evacuates zones and checks after each event that no exchange began at an evacuated replica.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -156,7 +156,8 @@
     private void onConnection(final UpstreamConnection connection, final String failure) {
         if (connection == null) {
             onUnreachable(failure);
-        } else if (mService.quotaGate().spend(this)) {
+        } else if (!mService.replicas().isEvacuated(replica().entry())
+                && mService.quotaGate().spend(this)) {
             write(connection);
         } else {
             connection.close();
@@ -191,9 +192,8 @@
         }
     }
 
-    /** Stops waiting for the current replica, on which the request may have run. */
+    /** Takes the request back from the current replica, which may have run it once written. */
     void abandonReplica() {
-        mExcludedReplicas.add(replica().entry().id());
         cancelExchange();
         mPhase = Phase.WAITING;
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -331,6 +331,10 @@
                 "persimmonreel_relay_directory_silent_seconds",
                 "Time since the last response of the directory",
                 () -> configurationSnapshot().directorySilentMillis() / MILLIS_PER_SECOND);
+        mMetrics.gauge(
+                "persimmonreel_relay_evacuated_zones",
+                "Availability zones whose replicas get no requests",
+                () -> mService.replicas().evacuatedZones().size());
         mDirectoryWatch.start();
         mPeers.start(mTransport);
         mTimers.every("relay-idle", IDLE_TICK, this::onIdleTick);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -10,6 +10,7 @@
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.daemon.log.EventLog;
 import java.util.Optional;
+import java.util.Set;
 
 /** Writes decisions on relayed requests to the log and updates the metrics. */
 final class RelayLog {
@@ -363,6 +364,16 @@
                 .write();
     }
 
+    /** Counts the availability zones that were evacuated or taken back. */
+    void evacuations(final Set<String> before, final Set<String> now) {
+        now.stream()
+                .filter(zone -> !before.contains(zone))
+                .forEach(zone -> mMetrics.onEvacuation("evacuated"));
+        before.stream()
+                .filter(zone -> !now.contains(zone))
+                .forEach(zone -> mMetrics.onEvacuation("taken-back"));
+    }
+
     void avoided(final Replica replica, final String reason) {
         mLog.event("replica", "avoided")
                 .put("replica", replica.entry().id())
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -44,6 +44,11 @@
                     "Replicas that said that they are leaving or want no requests for a time",
                     "upstream",
                     "event");
+    private final Counter mEvacuations =
+            counter(
+                    "persimmonreel_relay_zone_evacuations_total",
+                    "Availability zones that were evacuated or taken back",
+                    "event");
     private final Counter mUnrequested =
             counter(
                     "persimmonreel_relay_unrequested_responses_total",
@@ -90,6 +95,10 @@
         mAvailability.labelValues(upstream, event).inc();
     }
 
+    void onEvacuation(final String event) {
+        mEvacuations.labelValues(event).inc();
+    }
+
     void onUnrequested(final String upstream, final String kind) {
         mUnrequested.labelValues(upstream, kind).inc();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -206,8 +206,13 @@
 
     private long retryAfterMillis(final RelayCall call, final PlaceForecast place) {
         final long now = mService.nowNanos();
-        return mReturns.computeIfAbsent(call.task().upstream(), name -> new ReturnSchedule())
-                .delayMillis(place, call.task().millisLeft(now), now);
+        final String upstream = call.task().upstream();
+        final boolean isEvacuated = mReplicas.awaitsEvacuationEnd(upstream, now);
+        return mReturns.computeIfAbsent(upstream, name -> new ReturnSchedule())
+                .delayMillis(
+                        isEvacuated ? PlaceForecast.INDEFINITE : place,
+                        call.task().millisLeft(now),
+                        now);
     }
 
     /** Predicts when a request would get a slot that comes after all that wait. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -192,6 +192,14 @@
         mScheduler.placeAll();
     }
 
+    @Override
+    public void onEvacuatedZones(final Set<String> zones) {
+        mLog.evacuations(mReplicas.evacuatedZones(), zones);
+        mReplicas.evacuate(zones);
+        EvacuationWithdrawal.withdrawUnwritten(this, mCalls.snapshot());
+        mScheduler.placeAll();
+    }
+
     @Override
     public void onRequest(final CallerRequest request) {
         final RelayConfiguration configuration = mConfiguration;
@@ -460,6 +468,7 @@
             mLog.avoided(replica, "no data received for " + Math.round(silent) + " ms");
         }
         if (call.task().route().resendRule().allowsResend() && tryReserveResend(call, false)) {
+            call.excludedReplicas().add(replica.entry().id());
             call.abandonReplica();
             resend(call, "stalled", "no data received for " + Math.round(silent) + " ms");
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -96,6 +96,18 @@
         }
     }
 
+    /** Evacuates the zone of all replicas, and waits until the relay knows it. */
+    void evacuate() throws InterruptedException {
+        mDocuments.add(document("evacuate/zone", "{}"));
+        await(() -> log().contains("\"event\":\"evacuated\""));
+    }
+
+    /** Ends the evacuation, and waits until the relay knows it. */
+    void takeBack() throws InterruptedException {
+        mDocuments.add(new DirectorySource.Document("evacuate/zone", Optional.empty()));
+        await(() -> log().contains("\"event\":\"taken-back\""));
+    }
+
     /** Adds a replica at a port, and waits until the relay knows it. */
     void addReplica(final String id, final int port) throws InterruptedException {
         mDocuments.add(document("replica/" + id, "127.0.0.1:" + port));
@@ -325,6 +337,13 @@
             return name.startsWith("replica/");
         }
 
+        @Override
+        public Optional<String> evacuatedZone(final String name) {
+            return name.startsWith("evacuate/")
+                    ? Optional.of(name.substring("evacuate/".length()))
+                    : Optional.empty();
+        }
+
         @Override
         public RelayConfiguration readConfiguration(final String name, final byte[] content) {
             return mConfiguration;
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -48,6 +49,8 @@
     private final List<VirtualReplicaConnection> mReplicaConnections = new ArrayList<>();
     private final Deque<Connect> mConnects = new ArrayDeque<>();
     private final Set<Replica> mReplicas = Collections.newSetFromMap(new IdentityHashMap<>());
+    private final Set<UpstreamExchange> mBeforeEvacuation =
+            Collections.newSetFromMap(new IdentityHashMap<>());
     private final VirtualReplicaScript mScript = new VirtualReplicaScript(this);
     private final RelayService mService;
     private final RelayServer mServer;
@@ -57,7 +60,7 @@
 
     /** Holds a connection that is being opened. */
     private record Connect(
-            ChannelInitializer<Channel> initializer, Consumer<Throwable> onOutcome) {}
+            int port, ChannelInitializer<Channel> initializer, Consumer<Throwable> onOutcome) {}
 
     VirtualRelay() {
         this(HeldLimits.STANDARD);
@@ -148,6 +151,18 @@
         mReplicas.addAll(mService.replicas().all());
     }
 
+    /** Evacuates some zones and takes the others back. */
+    void evacuate(final Set<String> zones) {
+        mBeforeEvacuation.clear();
+        mReplicaConnections.forEach(connection -> mBeforeEvacuation.add(connection.exchange()));
+        mService.onEvacuatedZones(zones);
+    }
+
+    /** Returns the port of the replica to which the oldest connect goes, 0 if there is none. */
+    int connectingPort() {
+        return mConnects.isEmpty() ? 0 : mConnects.peek().port();
+    }
+
     boolean isConnecting() {
         return !mConnects.isEmpty();
     }
@@ -163,7 +178,8 @@
             return;
         }
         final VirtualChannel channel = new VirtualChannel(mLoop, mAllocator, connect.initializer());
-        mReplicaConnections.add(new VirtualReplicaConnection(channel, this, mScript));
+        mReplicaConnections.add(
+                new VirtualReplicaConnection(connect.port(), channel, this, mScript));
         if (closesAtOnce) {
             channel.close();
         }
@@ -216,6 +232,7 @@
             }
         }
         checkOwners();
+        checkEvacuations();
     }
 
     /** Returns whether no request has to be answered. */
@@ -260,7 +277,7 @@
             final SocketAddress address,
             final ChannelInitializer<Channel> initializer,
             final Consumer<Throwable> onOutcome) {
-        mConnects.add(new Connect(initializer, onOutcome));
+        mConnects.add(new Connect(((InetSocketAddress) address).getPort(), initializer, onOutcome));
     }
 
     private void tick() {
@@ -289,6 +306,19 @@
                 "an idle connection to a replica is not read");
     }
 
+    /** Checks that no request was written to an evacuated replica since the evacuation. */
+    private void checkEvacuations() {
+        for (final Replica replica : mService.replicas().all()) {
+            check(
+                    !replica.isEvacuated()
+                            || mReplicaConnections.stream()
+                                    .filter(c -> c.port() == replica.entry().port())
+                                    .map(VirtualReplicaConnection::exchange)
+                                    .allMatch(e -> e == null || mBeforeEvacuation.contains(e)),
+                    "a request was written to an evacuated replica");
+        }
+    }
+
     private static void check(final boolean holds, final String violation) {
         if (!holds) {
             throw new AssertionError(violation);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelayEvents.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelayEvents.java
@@ -216,6 +216,9 @@
     }
 
     private String changeDirectory() {
+        if (mRandom.nextInt(4) == 0) {
+            return evacuate();
+        }
         if (mRandom.nextInt(3) == 0) {
             configure();
             return "configuration";
@@ -225,6 +228,18 @@
         return "replicas " + count;
     }
 
+    /** Evacuates some of the zones, and takes the others back. */
+    private String evacuate() {
+        final Set<String> zones = new TreeSet<>();
+        for (int i = 0; i < REPLICAS; i++) {
+            if (mRandom.nextBoolean()) {
+                zones.add("z" + i);
+            }
+        }
+        mRelay.guarded(() -> mRelay.evacuate(zones));
+        return "evacuated " + zones;
+    }
+
     private void configure() {
         mVersion++;
         final int attempts = 1 + mRandom.nextInt(3);
@@ -241,7 +256,7 @@
         for (int i = 0; i < count; i++) {
             entries.add(
                     new ReplicaEntry(
-                            "r" + i, "app", "127.0.0.1", 1 + i, "zone", 2, false, startedMillis));
+                            "r" + i, "app", "127.0.0.1", 1 + i, "z" + i, 2, false, startedMillis));
         }
         mRelay.guarded(() -> mRelay.onReplicas(entries));
     }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaConnection.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaConnection.java
@@ -26,6 +26,7 @@
     private static final int SLOW_BYTES = 100;
     private static final int MAXIMUM_TRACED = 160;
 
+    private final int mPort;
     private final VirtualChannel mChannel;
     private final VirtualRelay mRelay;
     private final VirtualReplicaScript mScript;
@@ -38,6 +39,7 @@
     private boolean mAnswering;
     private boolean mInExchange;
     private int mResumeAfter;
+    private int mRequests;
 
     /** Lists what happens after the bytes of an output. */
     enum Then {
@@ -57,9 +59,11 @@
     record Output(byte[] bytes, boolean isLast, Then then) {}
 
     VirtualReplicaConnection(
+            final int port,
             final VirtualChannel channel,
             final VirtualRelay relay,
             final VirtualReplicaScript script) {
+        mPort = port;
         mChannel = channel;
         mRelay = relay;
         mScript = script;
@@ -68,6 +72,15 @@
         }
     }
 
+    int port() {
+        return mPort;
+    }
+
+    /** Returns the number of requests that have arrived. */
+    int requests() {
+        return mRequests;
+    }
+
     VirtualChannel channel() {
         return mChannel;
     }
@@ -76,6 +89,12 @@
         return !mOutputs.isEmpty() && mChannel.isOpen() && mChannel.isReading();
     }
 
+    /** Returns the relay's record of the last exchange, null if there is none. */
+    UpstreamExchange exchange() {
+        final UpstreamConnection connection = mChannel.pipeline().get(UpstreamConnection.class);
+        return connection == null ? null : connection.exchange();
+    }
+
     /** Returns whether an exchange is in progress at the relay. */
     boolean isBusy() {
         final UpstreamConnection connection = mChannel.pipeline().get(UpstreamConnection.class);
@@ -179,6 +198,7 @@
             throw new AssertionError("a replica gets a request that nobody sent: " + id);
         }
         mRequest.onArrival();
+        mRequests++;
         mInExchange = true;
         mBody.reset();
         mAnswering = false;
