--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ZoneEvacuationRelayTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ZoneEvacuationRelayTest.java
@@ -96,6 +96,9 @@
             send(VirtualRequest.Kind.CHARGE);
             final int evacuated = mRelay.connectingPort();
             evacuate(Set.of("z" + evacuated));
+            // The request does not wait until the connection is established or fails.
+            assertThat(mRelay.service().replicas().all())
+                    .allMatch(r -> r.ownInFlight() == (r.entry().port() == evacuated ? 0 : 1));
             final VirtualReplicaConnection abandoned = connect();
             assertThat(abandoned.port()).isEqualTo(evacuated);
             assertThat(abandoned.requests()).isZero();
