Hold and defer evacuations while a restored directory is repaired

A directory that is restored from a copy loses the last writes and removals of evacuations, which the operator repeats within 5 s. DirectoryState lets the time pass in its periodic check. Nothing calls onRestored yet: the era of the directory is not known here, and the change that reads it has to call it.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -83,7 +83,7 @@
             return;
         }
         mRevision = revision;
-        mEvacuations.begin(documents, revision);
+        mEvacuations.beginWritten(documents, revision);
         applyAll(documents, false);
         mEvacuations.endRemoved(documents, revision);
     }
@@ -106,7 +106,7 @@
             return;
         }
         mRevision = revision;
-        mEvacuations.begin(documents, revision);
+        mEvacuations.beginPresent(documents, revision);
         final Set<String> present = new HashSet<>();
         documents.forEach(document -> present.add(document.name()));
         boolean replicasChanged = false;
@@ -125,11 +125,13 @@
     }
 
     /**
-     * Removes replicas whose entries are still missing after the grace time of an outage.
+     * Removes replicas whose entries are still missing after the grace time of an outage, and
+     * applies the evacuations that a restored directory has.
      *
      * @param nowNanos the current monotonic time in nanoseconds
      */
     public void removeAbsentReplicas(final long nowNanos) {
+        mEvacuations.settle(mRevision, nowNanos);
         if (mAbsentSince.isEmpty()) {
             return;
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/ZoneEvacuationsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/ZoneEvacuationsTest.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -241,4 +242,152 @@
             assertThat(mPeerRecorder.mReports).containsExactly("[z1]", "[]");
         }
     }
+
+    /** Covers a directory that is restored from a copy and has lost its last writes. */
+    @Nested
+    class ARestoredDirectory {
+        private static final long BEFORE_NANOS = 4_900_000_000L;
+        private static final long AFTER_NANOS = 5_000_000_000L;
+
+        private final ZoneEvacuations mEvacuations =
+                new ZoneEvacuations(new Format(), mRecorder, mLog);
+
+        private void snapshot(final String... zones) {
+            final List<Document> documents = new ArrayList<>();
+            for (final String zone : zones) {
+                documents.add(document("out/" + zone, "{}"));
+            }
+            final Set<String> present = new HashSet<>();
+            documents.forEach(document -> present.add(document.name()));
+            mEvacuations.beginPresent(documents, 1);
+            mEvacuations.endAbsent(present, 1);
+        }
+
+        private void change(final String zone, final String content) {
+            final List<Document> documents = List.of(document("out/" + zone, content));
+            mEvacuations.beginWritten(documents, 1);
+            mEvacuations.endRemoved(documents, 1);
+        }
+
+        private void settle(final long nowNanos) {
+            mEvacuations.settle(1, nowNanos);
+        }
+
+        private List<String> copiedNames() {
+            final List<String> names = new ArrayList<>();
+            mEvacuations.copyTo(names, new ArrayList<>());
+            return names;
+        }
+
+        /** The write of the evacuation is lost, and the operator repeats it. */
+        @Test
+        void keepsAnEvacuationThatIsWrittenAgain() {
+            change("z1", "{}");
+            mEvacuations.onRestored(0);
+            snapshot();
+            settle(BEFORE_NANOS);
+            change("z1", "{}");
+            settle(AFTER_NANOS);
+            assertThat(mRecorder.mReports).containsExactly("[z1]");
+            assertThat(copiedNames()).containsExactly("out/z1");
+        }
+
+        @Test
+        void endsAnEvacuationThatIsNotWrittenAgain() {
+            change("z1", "{}");
+            mEvacuations.onRestored(0);
+            snapshot();
+            settle(BEFORE_NANOS);
+            assertThat(mRecorder.mReports).containsExactly("[z1]");
+            settle(AFTER_NANOS);
+            assertThat(mRecorder.mReports).containsExactly("[z1]", "[]");
+        }
+
+        /** The removal is lost, and the operator repeats it. */
+        @Test
+        void doesNotBringBackAnEvacuationThatIsRemovedAgain() {
+            change("z1", "{}");
+            change("z1", null);
+            mEvacuations.onRestored(0);
+            snapshot("z1");
+            settle(BEFORE_NANOS);
+            change("z1", null);
+            settle(AFTER_NANOS);
+            assertThat(mRecorder.mReports).containsExactly("[z1]", "[]");
+        }
+
+        @Test
+        void bringsBackAnEvacuationThatStays() {
+            change("z1", "{}");
+            change("z1", null);
+            mEvacuations.onRestored(0);
+            snapshot("z1");
+            settle(BEFORE_NANOS);
+            assertThat(mRecorder.mReports).containsExactly("[z1]", "[]");
+            settle(AFTER_NANOS);
+            assertThat(mRecorder.mReports).containsExactly("[z1]", "[]", "[z1]");
+        }
+
+        /** What is written or removed after the restore is not what the restore has lost. */
+        @Test
+        void followsChangesAtOnce() {
+            change("z1", "{}");
+            change("z1", null);
+            change("z2", "{}");
+            mEvacuations.onRestored(0);
+            snapshot("z1", "z2");
+            change("z1", "{}");
+            change("z2", null);
+            assertThat(mRecorder.mReports)
+                    .containsExactly("[z1]", "[]", "[z2]", "[z1, z2]", "[z1]");
+        }
+
+        /** An evacuation that this daemon has not known is in force at once, to be safe. */
+        @Test
+        void bringsAnUnknownEvacuationAtOnce() {
+            mEvacuations.onRestored(0);
+            snapshot("z1");
+            assertThat(mRecorder.mReports).containsExactly("[z1]");
+        }
+
+        /** The operator has the whole time after the last restore. */
+        @Test
+        void thatIsRestoredAgainWaitsAnew() {
+            change("z1", "{}");
+            change("z2", "{}");
+            change("z2", null);
+            mEvacuations.onRestored(0);
+            snapshot("z2");
+            mEvacuations.onRestored(BEFORE_NANOS);
+            snapshot("z2");
+            settle(AFTER_NANOS);
+            settle(BEFORE_NANOS + BEFORE_NANOS);
+            assertThat(mRecorder.mReports).containsExactly("[z1]", "[z1, z2]", "[z1]");
+            settle(BEFORE_NANOS + AFTER_NANOS);
+            assertThat(mRecorder.mReports).last().isEqualTo("[z2]");
+        }
+
+        /** A deferred evacuation may be gone from a later snapshot instead of by a change. */
+        @Test
+        void forgetsADeferredEvacuationThatALaterSnapshotLacks() {
+            change("z1", "{}");
+            change("z1", null);
+            mEvacuations.onRestored(0);
+            snapshot("z1");
+            snapshot();
+            settle(AFTER_NANOS);
+            assertThat(mRecorder.mReports).containsExactly("[z1]", "[]");
+        }
+
+        /** A peer holds and defers by what it knows itself. */
+        @Test
+        void isCopiedToPeersAsItIs() {
+            change("z1", "{}");
+            change("z2", "{}");
+            change("z2", null);
+            mEvacuations.onRestored(0);
+            snapshot("z2");
+            assertThat(copiedNames()).containsExactly("out/z2");
+        }
+    }
 }
