--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -32,6 +32,7 @@
     private final DirectoryFormat mFormat;
     private final DirectoryListener mListener;
     private final EventLog mLog;
+    private final ZoneEvacuations mEvacuations;
     private final Map<String, byte[]> mContents = new HashMap<>();
     private final Map<String, ReplicaEntry> mReplicas = new HashMap<>();
     private final Map<String, Long> mAbsentSince = new HashMap<>();
@@ -50,6 +51,7 @@
         mFormat = format;
         mListener = listener;
         mLog = log;
+        mEvacuations = new ZoneEvacuations(format, listener, log);
     }
 
     /**
@@ -81,7 +83,9 @@
             return;
         }
         mRevision = revision;
+        mEvacuations.beginWritten(documents, revision);
         applyAll(documents, false);
+        mEvacuations.endRemoved(documents, revision);
     }
 
     /**
@@ -102,6 +106,7 @@
             return;
         }
         mRevision = revision;
+        mEvacuations.beginPresent(documents, revision);
         final Set<String> present = new HashSet<>();
         documents.forEach(document -> present.add(document.name()));
         boolean replicasChanged = false;
@@ -116,14 +121,17 @@
             }
         }
         applyAll(documents, replicasChanged);
+        mEvacuations.endAbsent(present, revision);
     }
 
     /**
-     * Removes replicas whose entries are still missing after the grace time of an outage.
+     * Removes replicas whose entries are still missing after the grace time of an outage, and
+     * applies the evacuations that a restored directory has.
      *
      * @param nowNanos the current monotonic time in nanoseconds
      */
     public void removeAbsentReplicas(final long nowNanos) {
+        mEvacuations.settle(mRevision, nowNanos);
         if (mAbsentSince.isEmpty()) {
             return;
         }
@@ -154,6 +162,7 @@
                         contents.add(content);
                     }
                 });
+        mEvacuations.copyTo(names, contents);
         return new DirectoryCopy(mRevision, names, contents);
     }
 
