Merge the evacuation of zones and the eras of the directory

Evacuations are part of the directory's documents, so they begin, end and are held with the pair of era and revision.

--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/ZoneEvacuationsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/ZoneEvacuationsTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.persimmonreel.core.peer.DirectoryVersion;
 import io.persimmonreel.core.peer.PeerMessage.DirectoryCopy;
+import io.persimmonreel.core.peer.PeerMessage.DirectoryRequest;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.route.CallerLimits;
 import io.persimmonreel.core.route.RelayConfiguration;
@@ -92,11 +94,16 @@
     }
 
     private void applySnapshot(final long revision, final Document... documents) {
-        mState.applySnapshot(revision, List.of(documents), false, 0);
+        mState.applySnapshot(new DirectoryVersion(0, revision), List.of(documents), false, 0);
+    }
+
+    private DirectoryCopy copy(final long configVersion) {
+        return mState.copyFor(new DirectoryRequest(DirectoryVersion.NONE, configVersion, 0))
+                .orElseThrow();
     }
 
     private void applyChanges(final long revision, final Document... documents) {
-        mState.applyChanges(revision, List.of(documents));
+        mState.applyChanges(new DirectoryVersion(0, revision), List.of(documents));
     }
 
     @Nested
@@ -217,7 +224,7 @@
         void haveTheEvacuationsInForce() {
             applySnapshot(1, document("out/z1", "{}"), document("out/z2", "{}"));
             applyChanges(2, document("out/z1", null));
-            final DirectoryCopy copy = mState.copy(7);
+            final DirectoryCopy copy = copy(7);
             assertThat(copy.names()).containsExactly("out/z2");
             assertThat(copy.contents()).hasSize(1);
         }
@@ -227,7 +234,7 @@
         void bringAnEvacuationBeforeTheReplicas() {
             applySnapshot(
                     3, document("r1", "x"), document("config", "x"), document("out/z1", "{}"));
-            startPeer().onCopy(mState.copy(0));
+            startPeer().onCopy(copy(0));
             assertThat(mPeerRecorder.mReports).containsExactly("[z1]", "replicas", "config");
         }
 
@@ -236,9 +243,9 @@
         void bringTheBeginAndTheEnd() {
             final DirectoryWatch peer = startPeer();
             applySnapshot(1, document("out/z1", "{}"));
-            peer.onCopy(mState.copy(7));
+            peer.onCopy(copy(7));
             applyChanges(2, document("out/z1", null));
-            peer.onCopy(mState.copy(7));
+            peer.onCopy(copy(7));
             assertThat(mPeerRecorder.mReports).containsExactly("[z1]", "[]");
         }
     }
