--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
@@ -16,6 +16,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -52,6 +53,7 @@
     private final Set<UpstreamExchange> mBeforeEvacuation =
             Collections.newSetFromMap(new IdentityHashMap<>());
     private final VirtualReplicaScript mScript = new VirtualReplicaScript(this);
+    private final RelayMetrics mMetrics = new RelayMetrics();
     private final RelayService mService;
     private final RelayServer mServer;
     private SplittableRandom mRandom = new SplittableRandom(0);
@@ -69,16 +71,15 @@
     VirtualRelay(final HeldLimits heldLimits) {
         FAULTS.disarm();
         final RelayDialect dialect = FAULTS.in(new NativeDialect());
-        final RelayMetrics metrics = new RelayMetrics();
-        final ExchangeLog exchangeLog = new ExchangeLog(LOG, metrics);
+        final ExchangeLog exchangeLog = new ExchangeLog(LOG, mMetrics);
         mService =
                 new RelayService(
                         this,
                         new RelayLog(
                                 LOG,
-                                metrics,
+                                mMetrics,
                                 exchangeLog,
-                                new QuotaUseLog(LOG, metrics, monotonicNanos())),
+                                new QuotaUseLog(LOG, mMetrics, monotonicNanos())),
                         dialect,
                         new UpstreamConnectionPool(this::connect, dialect, this, exchangeLog),
                         new RetryBudget(1.0, 50),
@@ -106,6 +107,11 @@
         return mRandom;
     }
 
+    /** Returns the metrics as a scraper reads them. */
+    String metrics() throws IOException {
+        return new String(mMetrics.write(), StandardCharsets.UTF_8);
+    }
+
     RelayService service() {
         return mService;
     }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ZoneEvacuationRelayTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ZoneEvacuationRelayTest.java
@@ -152,6 +152,54 @@
         }
     }
 
+    /** Covers a daemon that starts during an evacuation. */
+    @Nested
+    class AZoneThatIsEvacuatedAtTheStart {
+        /** Requests wait for the first configuration, before which the evacuation is known. */
+        @Test
+        void getsNoneOfTheRequestsThatWaitForTheConfiguration() {
+            final VirtualRelay relay = new VirtualRelay();
+            relay.advance(1);
+            for (int i = 0; i < SLOTS; i++) {
+                relay.newCaller()
+                        .send(relay.newRequest(VirtualRequest.Kind.CHARGE), DEADLINE_MILLIS);
+            }
+            relay.settle();
+            relay.evacuate(Set.of("z1"));
+            relay.onReplicas(List.of(entry(PORT_1, 1), entry(PORT_2, 1)));
+            relay.service().onConfiguration(RelayFixture.configuration(1, 2, 0));
+            relay.settle();
+            for (int i = 0; i < SLOTS; i++) {
+                assertThat(relay.connectingPort()).isEqualTo(PORT_2);
+                relay.endConnect(true, false);
+                relay.settle();
+            }
+        }
+    }
+
+    /** Covers what operators see. */
+    @Nested
+    class Metrics {
+        @Test
+        void countBeginsAndEndsAndRequestsThatWereTakenBack() throws Exception {
+            final VirtualRelay relay = new VirtualRelay();
+            relay.advance(1);
+            relay.service().onConfiguration(RelayFixture.configuration(1, 2, 0));
+            relay.onReplicas(List.of(entry(PORT_1, 1)));
+            relay.newCaller().send(relay.newRequest(VirtualRequest.Kind.CHARGE), DEADLINE_MILLIS);
+            relay.settle();
+            relay.evacuate(Set.of("z1"));
+            relay.evacuate(Set.of("z1", "z2"));
+            relay.evacuate(Set.of("z2"));
+            assertThat(relay.metrics())
+                    .contains(
+                            "persimmonreel_relay_zone_evacuations_total{event=\"evacuated\"} 2.0",
+                            "persimmonreel_relay_zone_evacuations_total{event=\"taken-back\"} 1.0",
+                            "persimmonreel_relay_resends_total{reason=\"evacuated\","
+                                    + "upstream=\"app\"} 1.0");
+        }
+    }
+
     /** Covers a relay all of whose replicas are in one zone, over sockets. */
     @Nested
     class TheLastZone {
