Share a limit among a given number of daemons

Cold replicas need a division of a rate whose burst is bounded by the number of daemons that may send. RateShares chose that number itself, and counted only daemons known by name.

RateShares.shareAmong takes the number and lets daemons without a known name come first, so that partial knowledge never adds senders. PermitBucket is taken out of AdvertisedRateLimit, and FleetShare tells the part that daemons with the same knowledge divide. Nothing else behaves differently.

RateSharesTest, AdvertisedRateLimitTest, FleetShareTest and UnitExchangeTest pass.

--- a/core/src/main/java/io/persimmonreel/core/quota/FleetShare.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetShare.java
@@ -229,13 +229,27 @@
         if (mStanding == Standing.UNKNOWN) {
             return (1 - STARTED_SHARE) / Math.max(MAXIMUM_DAEMONS, size());
         }
+        return groupShare(nowNanos) / size();
+    }
+
+    /**
+     * Returns the part of the limit that this daemon and all others with the same knowledge of the
+     * fleet divide. The parts of all such groups never add up to more than 1.
+     *
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return a number from 0 to 1, 0 if this daemon does not know the fleet
+     */
+    public double groupShare(final long nowNanos) {
+        if (mStanding == Standing.UNKNOWN) {
+            return 0;
+        }
         if (mStanding == Standing.PROVISIONAL) {
-            return STARTED_SHARE / size();
+            return STARTED_SHARE;
         }
         // The seeds count as heard only some time after they are heard again, since daemons that
         // started meanwhile may not know all others yet.
         final boolean hearsSeeds = nowNanos - mSeedsLostNanos > DISCOVERY_NANOS;
-        return (hearsSeeds ? 1 : 1 - STARTED_SHARE) / size();
+        return hearsSeeds ? 1 : 1 - STARTED_SHARE;
     }
 
     /**
@@ -277,6 +291,15 @@
         return 1 + mMembers.size();
     }
 
+    /**
+     * Returns the other daemons that this one knows, counted or not.
+     *
+     * @return their names
+     */
+    public Set<String> members() {
+        return Set.copyOf(mMembers.keySet());
+    }
+
     /**
      * Returns whether a daemon is counted by all daemons that this one hears from.
      *
--- a/core/src/main/java/io/persimmonreel/core/ratelimit/AdvertisedRateLimit.java
+++ b/core/src/main/java/io/persimmonreel/core/ratelimit/AdvertisedRateLimit.java
@@ -23,16 +23,14 @@
     private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final double MILLIS_PER_SECOND = 1e3;
 
+    private final PermitBucket mPermits = new PermitBucket();
     private State mState = State.UNLIMITED;
     private double mPerSecond;
     private long mStatedNanos;
     private long mHeardNanos;
     private boolean mHasEnded;
     private long mEndedNanos;
-    private double mPermits;
-    private long mRefilledNanos;
 
     private enum State {
         UNLIMITED,
@@ -136,10 +134,7 @@
      */
     public double waitMillis(final double share, final long nowNanos) {
         refill(share, nowNanos);
-        if (mState == State.UNLIMITED || mPermits >= 1) {
-            return 0;
-        }
-        return (1 - mPermits) / (share * fleetRate(nowNanos)) * MILLIS_PER_SECOND;
+        return mState == State.UNLIMITED ? 0 : mPermits.waitMillis(share * fleetRate(nowNanos));
     }
 
     /**
@@ -151,15 +146,14 @@
     public void onSent(final double share, final long nowNanos) {
         refill(share, nowNanos);
         if (mState != State.UNLIMITED) {
-            mPermits -= 1;
+            mPermits.take();
         }
     }
 
     private boolean onStated(final double perSecond, final long statedNanos, final long nowNanos) {
         final boolean changed = mState != State.LIMITED || mPerSecond != perSecond;
         if (mState == State.UNLIMITED) {
-            mPermits = 0;
-            mRefilledNanos = nowNanos;
+            mPermits.reset(0, nowNanos);
         }
         mState = State.LIMITED;
         mPerSecond = perSecond;
@@ -190,10 +184,7 @@
         if (mState == State.UNLIMITED) {
             return;
         }
-        final double seconds = Math.max(0, nowNanos - mRefilledNanos) / NANOS_PER_SECOND;
-        // Permits of daemons add up, so a daemon that was idle may send one request at once.
-        mPermits = Math.min(1, mPermits + seconds * share * fleetRate(nowNanos));
-        mRefilledNanos = nowNanos;
+        mPermits.refill(share * fleetRate(nowNanos), nowNanos);
     }
 
     private double fleetRate(final long nowNanos) {
--- a/core/src/main/java/io/persimmonreel/core/ratelimit/RateShares.java
+++ b/core/src/main/java/io/persimmonreel/core/ratelimit/RateShares.java
@@ -80,6 +80,33 @@
         return before < maximumSharing ? 1.0 / maximumSharing : 0;
     }
 
+    /**
+     * Returns this daemon's share of a limit that a given number of daemons divide. Daemons that
+     * are assumed and not known by name count as if they came before this one, so that no more
+     * daemons than that have a share while some know only a part of the fleet.
+     *
+     * @param replicaHash the hash of the replica's id
+     * @param maximumSharing the most daemons with a share
+     * @return a fraction from 0 to 1
+     */
+    public double shareAmong(final long replicaHash, final int maximumSharing) {
+        if (mSize <= maximumSharing) {
+            return 1.0 / mSize;
+        }
+        return position(replicaHash) < maximumSharing ? 1.0 / maximumSharing : 0;
+    }
+
+    /**
+     * Returns how many daemons come before this one for a replica.
+     *
+     * @param replicaHash the hash of the replica's id
+     * @return the known daemons with a higher hash and those that are assumed
+     */
+    public int position(final long replicaHash) {
+        final int unknown = mSize - 1 - mOthers.length;
+        return unknown + mRanks.computeIfAbsent(replicaHash, this::rank);
+    }
+
     /** Returns the number of members that come before this daemon for a replica. */
     private int rank(final long replicaHash) {
         final long own = HASHER.hashLongLongToLong(replicaHash, mSelf);
