--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -416,6 +416,29 @@
             double perSecond,
             long ageMillis) {}
 
+    /**
+     * Lists the daemons that a hub knows, for a leaf that hears only of some.
+     *
+     * @param members their addresses, the hub's included
+     */
+    record MemberNames(List<String> members) implements PeerMessage {}
+
+    /**
+     * Reports replicas that crashed and are cold when they are back.
+     *
+     * @param crashes the crashes as the sender knows them
+     */
+    record ReplicaCrashNotice(List<ReplicaCrash> crashes) implements PeerMessage {}
+
+    /**
+     * Describes the crash of one start of a replica.
+     *
+     * @param replica the replica's id
+     * @param startedMillis when it started, milliseconds since the Unix epoch, 0 if unknown
+     * @param ageMillis the time since the last sign of the crash, in milliseconds
+     */
+    record ReplicaCrash(String replica, long startedMillis, long ageMillis) {}
+
     /**
      * Asks a peer for the documents of the directory.
      *
--- a/core/src/main/java/io/persimmonreel/core/route/RelayConfiguration.java
+++ b/core/src/main/java/io/persimmonreel/core/route/RelayConfiguration.java
@@ -1,5 +1,7 @@
 package io.persimmonreel.core.route;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -66,6 +68,15 @@
         return mLimits;
     }
 
+    /**
+     * Returns the upstreams.
+     *
+     * @return the upstreams, in no order
+     */
+    public Collection<RelayUpstream> upstreams() {
+        return Collections.unmodifiableCollection(mUpstreams.values());
+    }
+
     /**
      * Finds an upstream by its name.
      *
--- a/core/src/test/java/io/persimmonreel/core/quota/QuotaDaemonModel.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/QuotaDaemonModel.java
@@ -70,10 +70,18 @@
     }
 
     static QuotaFleet.DaemonFactory factory(final QuotaTolerance tolerance) {
-        return (fleet, index, nowNanos) -> new QuotaDaemonModel(fleet, index, tolerance, nowNanos);
+        return (fleet, index, nowNanos) -> create(fleet, index, tolerance, nowNanos);
     }
 
-    private static String name(final int index) {
+    static QuotaDaemonModel create(
+            final QuotaFleet fleet,
+            final int index,
+            final QuotaTolerance tolerance,
+            final long nowNanos) {
+        return new QuotaDaemonModel(fleet, index, tolerance, nowNanos);
+    }
+
+    static String name(final int index) {
         return "10.0.0." + index + ":7600";
     }
 
@@ -81,6 +89,15 @@
         return Integer.parseInt(name.substring("10.0.0.".length(), name.indexOf(':')));
     }
 
+    /** Returns what the daemon knows of the fleet. */
+    FleetShare fleetShare() {
+        return mShare;
+    }
+
+    boolean isHub() {
+        return mTopology.isHub();
+    }
+
     @Override
     public boolean isLinkedTo(final int peer) {
         return mTopology.links().contains(name(peer));
