Limit requests to cold replicas over the whole fleet

The warm-up of the configuration and its bound in the settings had no effect.

ReplicaRateLimits asks ColdReplicaLimits for permits too, so placement, room, waits and Retry-After follow. Refused or lost connections are told to all daemons (ReplicaCrashNotice), hubs list all names to their leaves (MemberNames), and a request whose connection opens after its replica became cold needs a permit. Without a bound or a warm-up nothing is sent, logged or limited.

--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -54,7 +54,9 @@
                     PeerMessage.UnitTransfer.class,
                     PeerMessage.PartNotice.class,
                     PeerMessage.RateLimitNotice.class,
-                    PeerMessage.FleetMembers.class);
+                    PeerMessage.FleetMembers.class,
+                    PeerMessage.ReplicaCrashNotice.class,
+                    PeerMessage.MemberNames.class);
 
     private static final List<Class<? extends Record>> NESTED_TYPES =
             List.of(
@@ -63,6 +65,7 @@
                     PeerMessage.ReplicaWork.class,
                     PeerMessage.PartState.class,
                     PeerMessage.RateLimitState.class,
+                    PeerMessage.ReplicaCrash.class,
                     PeerMessage.UnitClaim.class,
                     PeerMessage.UnitGrant.class,
                     PeerMessage.UnitShortage.class,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/FleetNotices.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/FleetNotices.java
@@ -19,12 +19,14 @@
     void sendChangesTo(final Consumer<PeerMessage> consumer) {
         mQuarantine.sendNoticesTo(consumer);
         mRateLimits.sendNoticesTo(consumer);
+        mRateLimits.coldReplicas().sendNoticesTo(consumer);
     }
 
     /** Returns what a daemon that has just connected must know. */
     List<PeerMessage> forNewPeer(final long nowNanos) {
         final List<PeerMessage> notices = new ArrayList<>(mQuarantine.knownEvidence(nowNanos));
         mRateLimits.notice(nowNanos).ifPresent(notices::add);
+        mRateLimits.coldReplicas().notice(false, nowNanos).ifPresent(notices::add);
         return notices;
     }
 
@@ -32,6 +34,7 @@
     List<PeerMessage> repeated(final long nowNanos) {
         final List<PeerMessage> notices = new ArrayList<>(mQuarantine.refusalNotices(nowNanos));
         mRateLimits.notice(nowNanos).ifPresent(notices::add);
+        mRateLimits.coldReplicas().notice(true, nowNanos).ifPresent(notices::add);
         return notices;
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -6,10 +6,12 @@
 import io.persimmonreel.core.peer.PeerMessage.DirectoryCopy;
 import io.persimmonreel.core.peer.PeerMessage.DirectoryRequest;
 import io.persimmonreel.core.peer.PeerMessage.FleetMembers;
+import io.persimmonreel.core.peer.PeerMessage.MemberNames;
 import io.persimmonreel.core.peer.PeerMessage.PartNotice;
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
 import io.persimmonreel.core.peer.PeerMessage.RelayDigest;
+import io.persimmonreel.core.peer.PeerMessage.ReplicaCrashNotice;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaWork;
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
 import io.persimmonreel.core.placement.SlotShares;
@@ -246,6 +248,11 @@
         } else if (message instanceof RateLimitNotice notice) {
             mService.rateLimits().onNotice(notice, now);
             forward(from.incarnation(), notice);
+        } else if (message instanceof MemberNames names) {
+            mQuotaPeers.onNames(names, now);
+        } else if (message instanceof ReplicaCrashNotice notice) {
+            mService.rateLimits().coldReplicas().onNotice(notice, now);
+            forward(from.incarnation(), notice);
         }
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaPeers.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaPeers.java
@@ -2,6 +2,7 @@
 
 import io.persimmonreel.core.peer.Incarnation;
 import io.persimmonreel.core.peer.PeerMessage.FleetMembers;
+import io.persimmonreel.core.peer.PeerMessage.MemberNames;
 import io.persimmonreel.core.peer.PeerMessage.Standing;
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
 import io.persimmonreel.core.quota.FleetQuota;
@@ -11,12 +12,23 @@
 import io.persimmonreel.core.quota.UnitRouting;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.peer.PeerTransport;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
-/** Exchanges units of quotas with peers. All methods run on the event loop. */
+/**
+ * Exchanges units of quotas with peers, and keeps this daemon's share of them and of the rates of
+ * cold replicas. All methods run on the event loop.
+ */
 final class QuotaPeers implements UnitRouting, UnitExchange.TransferObserver {
+    /** The time between two lists of names; daemons count a new one only after 3 s. */
+    private static final long NAMES_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final PeerExchange mPeers;
     private final RelayService mService;
     private final FleetQuota mQuota;
@@ -24,6 +36,8 @@
     private final UnitExchange mExchange;
     private final TimeSource mTime;
     private PeerTransport mTransport;
+    private long mNamesSentNanos;
+    private String mSelf;
     private boolean mKnowsFleet;
     private double mLoggedShare;
 
@@ -53,6 +67,10 @@
         mShare.onSeeds(
                 PeerSelector.format(settings.peerAddress()),
                 settings.seeds().stream().map(PeerSelector::format).toList());
+        mSelf = PeerSelector.format(settings.peerAddress());
+        mService.rateLimits()
+                .coldReplicas()
+                .onBound(settings.warmUpBound(), mTime.monotonicNanos());
     }
 
     void onConnected(final Incarnation peer) {
@@ -86,8 +104,13 @@
         mShare.onPeerMembers(members.members(), nowNanos);
     }
 
+    void onNames(final MemberNames names, final long nowNanos) {
+        mService.rateLimits().coldReplicas().onNames(names.members(), nowNanos);
+    }
+
     void onInterval(final long nowNanos) {
         checkSuspended(nowNanos);
+        sendNames(nowNanos);
         if (!mPeers.topology().isMesh()) {
             mQuota.extendLife(QuotaLife.HUBS, nowNanos);
         }
@@ -140,9 +163,25 @@
         mService.log().quotaUse().add(customer, QuotaEvent.RECEIVED, units);
     }
 
+    /** Lists all daemons to the leaves of this hub, which need the names for cold replicas only. */
+    private void sendNames(final long nowNanos) {
+        if (!mPeers.topology().isHub()
+                || !mService.rateLimits().coldReplicas().isLimiting()
+                || nowNanos - mNamesSentNanos < NAMES_INTERVAL_NANOS) {
+            return;
+        }
+        mNamesSentNanos = nowNanos;
+        final Set<Incarnation> leaves = new HashSet<>(partners());
+        leaves.removeIf(peer -> mPeers.topology().isHub(nameOf(peer)));
+        final List<String> names = new ArrayList<>(mShare.members());
+        names.add(mSelf);
+        mTransport.sendAll(leaves, new MemberNames(names));
+    }
+
     private void updateShare(final long nowNanos) {
         final int reachable = mPeers.reachable(nowNanos);
         mShare.onTimer(reachable, nowNanos);
+        mService.rateLimits().coldReplicas().onFleet(mSelf, mShare, nowNanos);
         final double share = mShare.share(nowNanos);
         mQuota.onShare(share, mShare.reachableShare(reachable, nowNanos), nowNanos);
         if (share != mLoggedShare) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -156,7 +156,7 @@
     private void onConnection(final UpstreamConnection connection, final String failure) {
         if (connection == null) {
             onUnreachable(failure);
-        } else if (mService.quotaGate().spend(this)) {
+        } else if (mService.replicaObserver().mayWrite(this) && mService.quotaGate().spend(this)) {
             write(connection);
         } else {
             connection.close();
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -8,6 +8,7 @@
 import io.persimmonreel.core.quota.QuotaState;
 import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.warmup.ColdReplicaEvent;
 import io.persimmonreel.daemon.log.EventLog;
 import java.util.Optional;
 
@@ -340,6 +341,21 @@
                 .write();
     }
 
+    /** Logs that a replica has become cold or is not cold any more. */
+    void coldReplica(
+            final String replica,
+            final String upstream,
+            final ColdReplicaEvent event,
+            final int coldReplicas) {
+        mMetrics.onColdReplica(upstream, event.label());
+        mLog.event("replica", event.isCold() ? "cold" : "warm")
+                .put("replica", replica)
+                .put("upstream", upstream)
+                .put("source", event.label())
+                .put("cold_replicas", coldReplicas)
+                .write();
+    }
+
     /** Logs that a replica says that it is leaving. */
     void leaving(final RelayCall call) {
         mMetrics.onAvailability(call.task().upstream(), "leaving");
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -38,6 +38,12 @@
                     "Rate limits of replicas that were stated anew or ended",
                     "upstream",
                     "event");
+    private final Counter mColdReplicas =
+            counter(
+                    "persimmonreel_relay_cold_replicas_total",
+                    "Changes of the warm-up of replicas, by what showed them",
+                    "upstream",
+                    "event");
     private final Counter mAvailability =
             counter(
                     "persimmonreel_relay_replicas_withdrawn_total",
@@ -86,6 +92,10 @@
         mRateLimits.labelValues(upstream, event).inc();
     }
 
+    void onColdReplica(final String upstream, final String event) {
+        mColdReplicas.labelValues(upstream, event).inc();
+    }
+
     void onAvailability(final String upstream, final String event) {
         mAvailability.labelValues(upstream, event).inc();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -174,6 +174,7 @@
         mConfiguration = configuration;
         mConfigurationMonitor.onInForce(configuration.version(), nowNanos());
         mQuota.configure(configuration.customers(), nowNanos());
+        mRateLimits.coldReplicas().onConfiguration(configuration, nowNanos());
         runForEach(mPreConfigurationQueue.takeAll(), this::onRequest);
     }
 
@@ -189,6 +190,7 @@
     @Override
     public void onReplicas(final Collection<ReplicaEntry> entries) {
         mReplicas.replace(entries);
+        mRateLimits.coldReplicas().onEntries(entries, nowNanos());
         mScheduler.placeAll();
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
@@ -8,11 +8,15 @@
 
 /** Learns the state of replicas from the exchanges with them. Not thread safe. */
 final class ReplicaObserver {
+    /** Part of the reason with which a connection fails that the replica's host refuses. */
+    private static final String REFUSED = "refused";
+
     private final TimeSource mTime;
     private final RelayLog mLog;
     private final ActiveCalls mCalls;
     private final ContentQuarantine mQuarantine;
     private final ReplicaRateLimits mRateLimits;
+    private final UpstreamConnectionPool mConnections;
     private final long mLastResortNanos;
     private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
 
@@ -29,10 +33,16 @@
         mCalls = calls;
         mQuarantine = quarantine;
         mRateLimits = rateLimits;
+        mConnections = connections;
         mLastResortNanos = lastResort.toNanos();
         mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
     }
 
+    /** Returns whether the request of a call may be written to a connection to its replica. */
+    boolean mayWrite(final RelayCall call) {
+        return mRateLimits.coldReplicas().tryWrite(call.dispatch(), mTime.monotonicNanos());
+    }
+
     /** Applies what a replica says of itself in a response. */
     void onHeaders(
             final RelayCall call, final HttpResponseStatus status, final ReplicaHeaders headers) {
@@ -42,6 +52,7 @@
             replica.onStatedLoad(headers.load(), now);
         }
         mRateLimits.onResponse(call.dispatch(), headers.rateLimit(), now);
+        mRateLimits.coldReplicas().onResponse(call.dispatch(), now);
         if (headers.leaving() && replica.availability().onLeaving(mLastResortNanos, now)) {
             mLog.leaving(call);
         }
@@ -52,9 +63,14 @@
     }
 
     void onUnreachable(final RelayCall call, final String reason) {
-        if (call.replica().health().onUnreachable(mTime.monotonicNanos())) {
+        final long now = mTime.monotonicNanos();
+        if (call.replica().health().onUnreachable(now)) {
             mLog.avoided(call.replica(), "unreachable: " + reason);
         }
+        // A connection that times out may show a fault of the network only.
+        if (reason.contains(REFUSED)) {
+            mRateLimits.coldReplicas().onCrash(call.replica(), now, now);
+        }
     }
 
     void onExchangeFailed(final RelayCall call, final String reason) {
@@ -63,6 +79,28 @@
             mLog.avoided(call.replica(), reason);
         }
         mCrashDetector.onBroken(call.replica(), ContentQuarantine.brokenExchange(call), now);
+        if (isLastConnectionLost(call)) {
+            mRateLimits.coldReplicas().onCrash(call.replica(), now, now);
+        }
+    }
+
+    /**
+     * Returns whether the replica ended the connection of a call and no other connection shows that
+     * it still runs. Waiting for the crash detector would let requests reach a replica that is back
+     * by then.
+     */
+    private boolean isLastConnectionLost(final RelayCall call) {
+        final UpstreamExchange exchange = call.dispatch().exchange();
+        return exchange != null
+                && (exchange.end() == UpstreamExchange.End.RESET
+                        || exchange.end() == UpstreamExchange.End.END_OF_INPUT)
+                && !mConnections.hasOpenIdle(call.replica())
+                && mCalls.all().stream()
+                        .noneMatch(
+                                other ->
+                                        other != call
+                                                && other.replica() == call.replica()
+                                                && other.isAtReplica());
     }
 
     void onError(final RelayCall call, final HttpResponseStatus status) {
@@ -94,6 +132,7 @@
             final Collection<BrokenExchange> exchanges,
             final long crashNanos) {
         mLog.crashed(replica, exchanges.size());
+        mRateLimits.coldReplicas().onCrash(replica, crashNanos, mTime.monotonicNanos());
         mQuarantine.onCrash(replica, exchanges, mCalls.all(), crashNanos, mTime.monotonicNanos());
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
@@ -26,12 +26,19 @@
 
     private final ReplicaRegistry mReplicas;
     private final RelayLog mLog;
+    private final ColdReplicaLimits mColdReplicas;
     private RateShares mShares = RateShares.whole();
     private Consumer<PeerMessage> mNoticeConsumer = notice -> {};
 
     ReplicaRateLimits(final ReplicaRegistry replicas, final RelayLog log) {
         mReplicas = replicas;
         mLog = log;
+        mColdReplicas = new ColdReplicaLimits(log);
+    }
+
+    /** Returns the limits of replicas that are cold, whose permits are needed too. */
+    ColdReplicaLimits coldReplicas() {
+        return mColdReplicas;
     }
 
     /** Sets the consumer that sends notices to other daemons. */
@@ -63,11 +70,7 @@
                 continue;
             }
             if (!hasPermit(replica, nowNanos)) {
-                final double share = share(replica);
-                wait.add(
-                        openMillis,
-                        replica.rateLimit().waitMillis(share, nowNanos),
-                        share * replica.rateLimit().perSecond());
+                addWait(wait, openMillis, replica, nowNanos);
             } else if (openMillis > 0) {
                 wait.add(openMillis, 0, requestsPerSecond(replica));
             }
@@ -75,6 +78,23 @@
         return wait;
     }
 
+    private void addWait(
+            final RateLimitedWait wait,
+            final double openMillis,
+            final Replica replica,
+            final long nowNanos) {
+        final AdvertisedRateLimit limit = replica.rateLimit();
+        final double share = share(replica);
+        final double perSecond =
+                limit.isLimiting() ? share * limit.perSecond() : Double.POSITIVE_INFINITY;
+        wait.add(
+                openMillis,
+                Math.max(
+                        limit.waitMillis(share, nowNanos),
+                        mColdReplicas.waitMillis(replica, nowNanos)),
+                Math.min(perSecond, mColdReplicas.perSecond(replica, nowNanos)));
+    }
+
     private static double requestsPerSecond(final Replica replica) {
         return replica.entry().slots()
                 * MILLIS_PER_SECOND
@@ -82,6 +102,7 @@
     }
 
     void onSent(final Replica replica, final long nowNanos) {
+        mColdReplicas.onSent(replica, nowNanos);
         if (replica.rateLimit().isLimiting()) {
             replica.rateLimit().onSent(share(replica), nowNanos);
         }
@@ -140,7 +161,8 @@
 
     private boolean hasPermit(final Replica replica, final long nowNanos) {
         final AdvertisedRateLimit limit = replica.rateLimit();
-        return !limit.isLimiting() || limit.waitMillis(share(replica), nowNanos) <= 0;
+        return (!limit.isLimiting() || limit.waitMillis(share(replica), nowNanos) <= 0)
+                && mColdReplicas.waitMillis(replica, nowNanos) <= 0;
     }
 
     /** Returns this daemon's share; all daemons have one while an ended limit is lifted. */
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamExchange.java
@@ -193,6 +193,11 @@
         return mBytesReceived;
     }
 
+    /** Returns when the request was handed to the connection, in nanoseconds. */
+    long sentNanos() {
+        return mSentNanos;
+    }
+
     /** Returns how the exchange ended. */
     End end() {
         return mEnd;
--- /dev/null
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ColdReplicaLimitsTest.java
@@ -0,0 +1,121 @@
+package io.persimmonreel.daemon.relay;
+
+import static io.persimmonreel.daemon.relay.ReplicaScripts.ATTEMPT_HEADER;
+import static io.persimmonreel.daemon.relay.ReplicaScripts.respond;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.persimmonreel.core.peer.PeerMessage.ReplicaCrash;
+import io.persimmonreel.core.peer.PeerMessage.ReplicaCrashNotice;
+import io.persimmonreel.core.route.RelayUpstream;
+import io.persimmonreel.core.route.WarmUp;
+import io.persimmonreel.core.warmup.WarmUpBound;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ColdReplicaLimitsTest {
+    private static final int REQUESTS = 6;
+    private static final double PER_SECOND = 2;
+    private static final WarmUpBound BOUND = new WarmUpBound(1.5, 1);
+    private static final ReplicaCrashNotice CRASH =
+            new ReplicaCrashNotice(List.of(new ReplicaCrash("r0", 1, 0)));
+
+    private static RelayFixture start(final int replicas, final Optional<WarmUpBound> bound)
+            throws Exception {
+        final RelayFixture relay =
+                new RelayFixture(
+                        replicas,
+                        Duration.ofSeconds(8),
+                        RelayFixture.configuration(
+                                1,
+                                2,
+                                0,
+                                new RelayUpstream(
+                                        "app",
+                                        Optional.empty(),
+                                        Optional.of(new WarmUp(3_000, PER_SECOND)))),
+                        new NativeDialect(),
+                        bound);
+        for (int i = 0; i < replicas; i++) {
+            for (int request = 0; request < 2 * REQUESTS; request++) {
+                relay.replica(i).addScript(exchange -> respond(exchange, 200, "", "done"));
+            }
+        }
+        return relay;
+    }
+
+    private static String lookup(final RelayFixture relay) throws IOException {
+        return relay.request("GET", "/lookup/1", ATTEMPT_HEADER, "");
+    }
+
+    @Nested
+    class AReplicaThatRefusesConnections {
+        @Test
+        void isReportedToPeersAtOnceAndToThoseThatConnectLater() throws Exception {
+            try (RelayFixture relay = start(2, Optional.of(BOUND));
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                relay.replica(0).close();
+                for (int i = 0; i < REQUESTS; i++) {
+                    assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+                }
+                RelayFixture.await(() -> !peer.received(ReplicaCrashNotice.class).isEmpty());
+                assertThat(peer.received(ReplicaCrashNotice.class).get(0).crashes())
+                        .extracting(ReplicaCrash::replica)
+                        .containsExactly("r0");
+                assertThat(relay.log()).contains("\"event\":\"cold\"");
+                try (ScriptedPeer later = new ScriptedPeer(relay, 2)) {
+                    RelayFixture.await(() -> !later.received(ReplicaCrashNotice.class).isEmpty());
+                }
+            }
+        }
+
+        /** Guards against a change for fleets whose settings have no bound. */
+        @Test
+        void isNotReportedWithoutABound() throws Exception {
+            try (RelayFixture relay = start(2, Optional.empty());
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                relay.replica(0).close();
+                for (int i = 0; i < REQUESTS; i++) {
+                    assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+                }
+                assertThat(peer.received(ReplicaCrashNotice.class)).isEmpty();
+                assertThat(relay.log()).doesNotContain("\"event\":\"cold\"");
+            }
+        }
+    }
+
+    @Nested
+    class AReplicaThatAPeerReports {
+        @Test
+        void getsNoMoreRequestsThanTheRateAllows() throws Exception {
+            try (RelayFixture relay = start(1, Optional.of(BOUND));
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                peer.send(CRASH);
+                RelayFixture.await(() -> relay.log().contains("\"source\":\"peer\""));
+                final long beginNanos = System.nanoTime();
+                for (int i = 0; i < REQUESTS; i++) {
+                    assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+                }
+                final double seconds =
+                        (double) (System.nanoTime() - beginNanos) / TimeUnit.SECONDS.toNanos(1);
+                assertThat((double) REQUESTS).isLessThanOrEqualTo(1 + seconds * PER_SECOND);
+            }
+        }
+
+        @Test
+        void isNotLimitedWithoutABound() throws Exception {
+            try (RelayFixture relay = start(1, Optional.empty());
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                peer.send(CRASH);
+                for (int i = 0; i < REQUESTS; i++) {
+                    assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+                }
+                assertThat(relay.log()).doesNotContain("\"event\":\"cold\"");
+            }
+        }
+    }
+}
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -10,6 +10,7 @@
 import io.persimmonreel.core.route.ResendRule;
 import io.persimmonreel.core.route.Route;
 import io.persimmonreel.core.route.RouteTable;
+import io.persimmonreel.core.warmup.WarmUpBound;
 import io.persimmonreel.daemon.directory.DirectoryException;
 import io.persimmonreel.daemon.directory.DirectoryFormat;
 import io.persimmonreel.daemon.directory.DirectorySource;
@@ -72,6 +73,16 @@
             final RelayConfiguration configuration,
             final RelayDialect dialect)
             throws Exception {
+        this(replicas, grace, configuration, dialect, Optional.empty());
+    }
+
+    RelayFixture(
+            final int replicas,
+            final Duration grace,
+            final RelayConfiguration configuration,
+            final RelayDialect dialect,
+            final Optional<WarmUpBound> warmUpBound)
+            throws Exception {
         mConfiguration = configuration;
         mDocuments.add(document("config", ""));
         for (int i = 0; i < replicas; i++) {
@@ -80,7 +91,7 @@
             mDocuments.add(document("replica/r" + i, "127.0.0.1:" + replica.port()));
         }
         final SystemTimeSource time = new SystemTimeSource();
-        mSettings = settings(grace);
+        mSettings = settings(grace, warmUpBound);
         mDaemon =
                 new RelayDaemon(
                         mSettings,
@@ -200,6 +211,14 @@
             final int attempts,
             final double ratePerSecond,
             final Optional<EngineProfile> engine) {
+        return configuration(version, attempts, ratePerSecond, new RelayUpstream("app", engine));
+    }
+
+    static RelayConfiguration configuration(
+            final long version,
+            final int attempts,
+            final double ratePerSecond,
+            final RelayUpstream upstream) {
         final List<Route> routes = new ArrayList<>();
         routes.add(route("/lookup/", ResendRule.IDEMPOTENT, attempts));
         routes.add(route("/charge/", ResendRule.AT_MOST_ONCE, attempts));
@@ -208,7 +227,7 @@
         return new RelayConfiguration(
                 version,
                 new RouteTable(routes),
-                List.of(new RelayUpstream("app", engine)),
+                List.of(upstream),
                 new CallerLimits(4_096, 65_536, 1_000, 2_000),
                 List.of(
                         new RelayCustomer(
@@ -265,7 +284,8 @@
                 new byte[] {127, (byte) (1 + pid / 65_536), (byte) (pid / 256), (byte) pid});
     }
 
-    private static RelaySettings settings(final Duration grace) throws IOException {
+    private static RelaySettings settings(
+            final Duration grace, final Optional<WarmUpBound> warmUpBound) throws IOException {
         final InetSocketAddress anyPort =
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         final InetAddress ownAddress = ownLoopbackAddress();
@@ -290,7 +310,7 @@
                 50,
                 QuotaTolerance.NONE,
                 HeldLimits.STANDARD,
-                Optional.empty(),
+                warmUpBound,
                 Optional.empty());
     }
 
