Merge the bound on requests to cold replicas

A request is written only if its replica's zone is not evacuated, its permit for a cold replica holds and its quota covers it. 281 tests of the directory, limits and the relay pass.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -157,6 +157,7 @@
         if (connection == null) {
             onUnreachable(failure);
         } else if (!mService.replicas().isEvacuated(replica().entry())
+                && mService.replicaObserver().mayWrite(this)
                 && mService.quotaGate().spend(this)) {
             write(connection);
         } else {
