--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -8,6 +8,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.persimmonreel.core.explain.DecisionRecord;
 import io.persimmonreel.core.peer.PeerMessage;
+import io.persimmonreel.core.peer.SlotClaim;
+import io.persimmonreel.core.peer.SlotGrant;
+import io.persimmonreel.core.peer.SlotRelease;
+import io.persimmonreel.core.peer.SlotUse;
 import io.persimmonreel.core.request.RequestIdentity;
 import io.persimmonreel.core.request.Step;
 import java.io.IOException;
@@ -54,7 +58,8 @@
                     PeerMessage.UnitTransfer.class,
                     PeerMessage.PartNotice.class,
                     PeerMessage.RateLimitNotice.class,
-                    PeerMessage.FleetMembers.class);
+                    PeerMessage.FleetMembers.class,
+                    PeerMessage.SlotTransfer.class);
 
     private static final List<Class<? extends Record>> NESTED_TYPES =
             List.of(
@@ -66,6 +71,10 @@
                     PeerMessage.UnitClaim.class,
                     PeerMessage.UnitGrant.class,
                     PeerMessage.UnitShortage.class,
+                    SlotClaim.class,
+                    SlotGrant.class,
+                    SlotRelease.class,
+                    SlotUse.class,
                     RequestIdentity.class,
                     DecisionRecord.class);
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -11,12 +11,14 @@
 import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
 import io.persimmonreel.core.peer.PeerMessage.RelayDigest;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaWork;
+import io.persimmonreel.core.peer.PeerMessage.SlotTransfer;
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
 import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.ratelimit.RateShares;
 import io.persimmonreel.core.retry.RetryBudget;
 import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.core.time.TimeSource;
+import io.persimmonreel.core.time.TimerService;
 import io.persimmonreel.daemon.directory.DirectoryState;
 import io.persimmonreel.daemon.directory.DirectoryWatch;
 import io.persimmonreel.daemon.log.EventLog;
@@ -88,6 +90,7 @@
     private final Map<Incarnation, Peer> mPeers = new HashMap<>();
     private final Map<String, Long> mLastHeardNanosByMember = new HashMap<>();
     private PeerTransport mTransport;
+    private SlotGrants mSlotGrants;
     private boolean mShuttingDown;
     private long mLastDirectoryRequestNanos;
     private int mDigestRounds;
@@ -124,8 +127,9 @@
         mLog = log;
     }
 
-    void start(final PeerTransport transport) {
+    void start(final PeerTransport transport, final TimerService timers) {
         mTransport = transport;
+        mSlotGrants = new SlotGrants(mSelector.name(), this, mService, transport, mTime, timers);
         mQuotaPeers.start(transport);
         updateConnections();
     }
@@ -236,6 +240,8 @@
             mDirectoryWatch.onCopy(copy);
         } else if (message instanceof UnitTransfer transfer) {
             mQuotaPeers.onTransfer(from.incarnation(), transfer, now);
+        } else if (message instanceof SlotTransfer transfer) {
+            mSlotGrants.onTransfer(from.incarnation(), transfer, now);
         } else if (message instanceof FleetMembers members) {
             mQuotaPeers.onMembers(members, now);
         } else if (message instanceof QuarantineNotice notice) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -332,7 +332,7 @@
                 "Time since the last response of the directory",
                 () -> configurationSnapshot().directorySilentMillis() / MILLIS_PER_SECOND);
         mDirectoryWatch.start();
-        mPeers.start(mTransport);
+        mPeers.start(mTransport, mTimers);
         mTimers.every("relay-idle", IDLE_TICK, this::onIdleTick);
         mTimers.every("digest", DIGEST_INTERVAL, mPeers::sendDigests);
         mTimers.every("quarantine", QUARANTINE_INTERVAL, mService.quarantine()::onTimer);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -1,6 +1,7 @@
 package io.persimmonreel.daemon.relay;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.persimmonreel.core.grant.SlotListener;
 import io.persimmonreel.core.peer.PeerMessage.PartState;
 import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.placement.Placement.Choice;
@@ -9,6 +10,7 @@
 import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.daemon.log.EventLog;
+import java.util.Locale;
 import java.util.Optional;
 
 /** Writes decisions on relayed requests to the log and updates the metrics. */
@@ -78,6 +80,17 @@
         mLog.event("quota", "suspended").write();
     }
 
+    /** Counts what becomes of claims of slots, and logs changes of the granter. */
+    void slots(final String upstream, final SlotListener.Event event) {
+        final String name = event.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        mMetrics.onSlots(upstream, name);
+        if (event == SlotListener.Event.UNANSWERED
+                || event == SlotListener.Event.GRANTER_STARTED
+                || event == SlotListener.Event.GRANTER_ENDED) {
+            mLog.event("slots", name).put("upstream", upstream).write();
+        }
+    }
+
     /** Logs a queued request that was refused because no replica can serve it in time. */
     void refusedWhileQueued(
             final RelayCall call,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -56,6 +56,12 @@
                     "Responses to callers that differ from the replica's, by the first difference",
                     "upstream",
                     "kind");
+    private final Counter mSlots =
+            counter(
+                    "persimmonreel_relay_slot_claims_total",
+                    "Claims of slots of upstreams with few slots, by what became of them",
+                    "upstream",
+                    "event");
     private final Counter mQuotaUnits =
             counter(
                     "persimmonreel_relay_quota_units_total",
@@ -98,6 +104,10 @@
         mMismatches.labelValues(upstream, kind).inc();
     }
 
+    void onSlots(final String upstream, final String event) {
+        mSlots.labelValues(upstream, event).inc();
+    }
+
     void onQuota(final String customer, final String event, final long units) {
         mQuotaUnits.labelValues(customer, event).inc(Math.max(0, units));
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -11,6 +11,7 @@
 import io.persimmonreel.core.admission.ShutdownAdmission;
 import io.persimmonreel.core.admission.SpareCapacity;
 import io.persimmonreel.core.admission.TimeLeft;
+import io.persimmonreel.core.grant.SlotAnswer;
 import io.persimmonreel.core.placement.Placement;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.placement.PromptCacheEstimate;
@@ -61,6 +62,7 @@
 
     private SlotShares mShares = SlotShares.UNDIVIDED;
     private int mDaemons = 1;
+    private SlotGate mSlotGate = SlotGate.NONE;
     private Shutdown mShutdown;
 
     /**
@@ -99,6 +101,11 @@
         mPlacement.onShares(shares);
     }
 
+    /** Sets what is asked for slots of upstreams whose slots are not divided. */
+    void use(final SlotGate gate) {
+        mSlotGate = gate;
+    }
+
     /** Returns the number of waiting requests. */
     int waiting() {
         return mQueue.size();
@@ -117,6 +124,7 @@
      * the last one is refused.
      */
     void submit(final RelayCall call) {
+        mSlotGate.release(call);
         mQueue.add(new WaitingRequest(call, fastestRun(call)));
         Optional<WaitingRequest> last = mQueue.excess(mService.nowNanos());
         while (last.isPresent()) {
@@ -128,9 +136,15 @@
     }
 
     void remove(final RelayCall call) {
+        mSlotGate.release(call);
         mQueue.remove(call);
     }
 
+    /** Records that the response to a request is complete. */
+    void onServed(final RelayCall call) {
+        mSlotGate.onServed(call, mService.nowNanos());
+    }
+
     /** Tries to place the waiting requests of all upstreams. */
     void placeAll() {
         mQueue.upstreams().forEach(upstream -> place(upstream, MAXIMUM_UNPLACED_PER_TIMER));
@@ -248,9 +262,14 @@
             return true;
         }
         final List<Replica> replicas = mReplicas.ofUpstream(call.task().upstream());
+        final SlotAnswer slot = askForSlot(call, replicas, now);
+        if (slot.state() == SlotAnswer.State.ASKED || slot.state() == SlotAnswer.State.WAITING) {
+            return onSlotAwaited(waiting, slot, pass, now);
+        }
+        final Optional<Choice> granted = granted(call, slot, now);
         final Optional<Choice> chosen =
-                pass.isExhausted()
-                        ? Optional.empty()
+                granted.isPresent() || pass.isExhausted()
+                        ? granted
                         : choose(call, mRateLimits.withPermit(replicas, now), now);
         final RateLimitedWait closed =
                 pass.isAnyClosed()
@@ -265,6 +284,10 @@
             fail(call, "the daemon is leaving", SHUTDOWN_RETRY_AFTER_MILLIS);
             return true;
         }
+        if (granted.isPresent()) {
+            send(call, granted.get(), replicas.size(), now);
+            return true;
+        }
         final WaitingRequest request =
                 chosen.map(choice -> waiting.withRun(choice.run())).orElse(waiting);
         mQueue.update(request);
@@ -284,15 +307,55 @@
         }
     }
 
+    /** Asks for a slot, unless this daemon has slots of its own. */
+    private SlotAnswer askForSlot(
+            final RelayCall call, final List<Replica> replicas, final long now) {
+        return mShares.isDivided(call.task().upstream())
+                ? SlotAnswer.NONE
+                : mSlotGate.ask(
+                        call,
+                        mRateLimits.withPermit(replicas, now),
+                        mQuarantine.excludedReplicas(call, now),
+                        now);
+    }
+
+    /** Returns the granted replica, empty if there is no grant or the replica can't be used. */
+    private Optional<Choice> granted(final RelayCall call, final SlotAnswer slot, final long now) {
+        return mReplicas
+                .find(slot.replica())
+                .flatMap(
+                        replica ->
+                                choose(call, mRateLimits.withPermit(List.of(replica), now), now));
+    }
+
+    /** Refuses a request whose slot will come too late; returns false if it waits for it. */
+    private boolean onSlotAwaited(
+            final WaitingRequest request,
+            final SlotAnswer slot,
+            final PlacementPass pass,
+            final long now) {
+        final double intervalMillis = pass.forecast(new RateLimitedWait()).intervalMillis();
+        final PlaceForecast place = new PlaceForecast(slot.waitMillis(), intervalMillis, 0);
+        return Admission.decide(
+                                timeLeft(request.call(), now),
+                                ReplicaForecast.NONE,
+                                place,
+                                request.run())
+                        == Admission.Decision.REFUSE
+                && onTooLate(request, null, place, "all replicas are busy");
+    }
+
     private void send(
             final RelayCall call, final Choice choice, final int candidates, final long now) {
         mQueue.remove(call);
         if (!mService.quotaGate().isPermitted(call)) {
+            mSlotGate.release(call);
             mService.quotaGate().admit(call);
             return;
         }
         mLog.sent(call, choice, candidates, now);
         mRateLimits.onSent(choice.replica(), now);
+        mSlotGate.onSent(call, choice.replica());
         call.dispatch(choice);
         mQuarantine.onSent(call, now);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -131,6 +131,10 @@
         return mReplicaObserver;
     }
 
+    RelayScheduler scheduler() {
+        return mScheduler;
+    }
+
     FleetNotices notices() {
         return mNotices;
     }
@@ -353,6 +357,7 @@
     void onSucceeded(final RelayCall call, final HttpResponseStatus status, final int events) {
         final Replica replica = call.replica();
         replica.health().onSuccess();
+        mScheduler.onServed(call);
         final int tokensPerEvent = tokensPerEvent(call.task().upstream());
         if (events > 2) {
             replica.onTokenTime(call.dispatch().streamMillis() / (events - 1) / tokensPerEvent);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
@@ -15,6 +15,7 @@
     private final ReplicaRateLimits mRateLimits;
     private final long mLastResortNanos;
     private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
+    private SlotGate mSlotGate = SlotGate.NONE;
 
     ReplicaObserver(
             final TimeSource time,
@@ -33,6 +34,10 @@
         mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
     }
 
+    void use(final SlotGate gate) {
+        mSlotGate = gate;
+    }
+
     /** Applies what a replica says of itself in a response. */
     void onHeaders(
             final RelayCall call, final HttpResponseStatus status, final ReplicaHeaders headers) {
@@ -40,6 +45,7 @@
         final Replica replica = call.replica();
         if (headers.load() >= 0) {
             replica.onStatedLoad(headers.load(), now);
+            mSlotGate.onStatedLoad(replica, headers.load(), now);
         }
         mRateLimits.onResponse(call.dispatch(), headers.rateLimit(), now);
         if (headers.leaving() && replica.availability().onLeaving(mLastResortNanos, now)) {
--- a/daemon/src/test/java/io/persimmonreel/daemon/peer/PeerCodecTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/peer/PeerCodecTest.java
@@ -5,6 +5,10 @@
 
 import io.persimmonreel.core.explain.DecisionRecord;
 import io.persimmonreel.core.peer.PeerMessage;
+import io.persimmonreel.core.peer.SlotClaim;
+import io.persimmonreel.core.peer.SlotGrant;
+import io.persimmonreel.core.peer.SlotRelease;
+import io.persimmonreel.core.peer.SlotUse;
 import io.persimmonreel.core.request.RequestIdentity;
 import io.persimmonreel.core.request.Step;
 import io.persimmonreel.core.service.Tier;
@@ -56,6 +60,22 @@
                     .isEqualTo(new PeerMessage.Leaving());
         }
 
+        /** Guards against a nested type that the codec does not know. */
+        @Test
+        void includeClaimsAndGrantsOfSlots() throws PeerException {
+            final PeerMessage transfer =
+                    new PeerMessage.SlotTransfer(
+                            List.of(
+                                    new SlotClaim(
+                                            "10.0.0.1:1", "db", 7, 2, -3, 900, List.of("r1"))),
+                            List.of(new SlotRelease("10.0.0.1:1", "db", 5, "r2", 57_100)),
+                            List.of(new SlotUse("10.0.0.1:1", "db", 6, "r3")),
+                            List.of(
+                                    new SlotGrant("10.0.0.2:1", 8, "db", "r4", 0),
+                                    new SlotGrant("10.0.0.2:1", 9, "db", "", 120)));
+            assertThat(mCodec.decode(mCodec.encode((Record) transfer))).isEqualTo(transfer);
+        }
+
         /** Guards against heartbeats that exceed the budget for control traffic. */
         @Test
         void keepAHeartbeatBelow128Bytes() throws PeerException {
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ScriptedPeer.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ScriptedPeer.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 /** Connects to a relay as another daemon of its fleet and records what the relay sends. */
 final class ScriptedPeer implements PeerListener, AutoCloseable {
@@ -20,6 +21,7 @@
     private final List<PeerMessage> mMessages = new CopyOnWriteArrayList<>();
     private final PeerTransport mTransport;
     private volatile Incarnation mRelay;
+    private volatile Consumer<PeerMessage> mResponder = message -> {};
 
     /** Connects, and waits until the relay has sent its first message. */
     ScriptedPeer(final RelayFixture relay, final long incarnation) throws InterruptedException {
@@ -39,6 +41,11 @@
         mTransport.send(mRelay, message);
     }
 
+    /** Sets what is called with each message as soon as it is received. */
+    void respondWith(final Consumer<PeerMessage> responder) {
+        mResponder = responder;
+    }
+
     /** Returns the received messages of a type. */
     <T> List<T> received(final Class<T> type) {
         return mMessages.stream().filter(type::isInstance).map(type::cast).toList();
@@ -52,6 +59,7 @@
     @Override
     public void onMessage(final PeerIdentity from, final PeerMessage message) {
         mMessages.add(message);
+        mResponder.accept(message);
     }
 
     @Override
