--- a/core/src/main/java/io/persimmonreel/core/route/RelayConfiguration.java
+++ b/core/src/main/java/io/persimmonreel/core/route/RelayConfiguration.java
@@ -87,6 +87,19 @@
         return Optional.ofNullable(mUpstreams.get(name));
     }
 
+    /**
+     * Returns the usual number of tokens per event of an upstream's streams.
+     *
+     * @param name the upstream's name
+     * @return the tokens, 1 if the upstream is unknown or has no engines
+     */
+    public int tokensPerEvent(final String name) {
+        return upstream(name)
+                .flatMap(RelayUpstream::engine)
+                .map(EngineProfile::tokensPerEvent)
+                .orElse(1);
+    }
+
     /**
      * Returns the customers.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -9,6 +9,10 @@
 import io.persimmonreel.core.explain.DecisionRecord;
 import io.persimmonreel.core.peer.DirectoryVersion;
 import io.persimmonreel.core.peer.PeerMessage;
+import io.persimmonreel.core.peer.SlotClaim;
+import io.persimmonreel.core.peer.SlotGrant;
+import io.persimmonreel.core.peer.SlotRelease;
+import io.persimmonreel.core.peer.SlotUse;
 import io.persimmonreel.core.request.RequestIdentity;
 import io.persimmonreel.core.request.Step;
 import java.io.IOException;
@@ -57,7 +61,8 @@
                     PeerMessage.RateLimitNotice.class,
                     PeerMessage.FleetMembers.class,
                     PeerMessage.ReplicaCrashNotice.class,
-                    PeerMessage.MemberNames.class);
+                    PeerMessage.MemberNames.class,
+                    PeerMessage.SlotTransfer.class);
 
     private static final List<Class<? extends Record>> NESTED_TYPES =
             List.of(
@@ -71,6 +76,10 @@
                     PeerMessage.UnitGrant.class,
                     PeerMessage.UnitShortage.class,
                     DirectoryVersion.class,
+                    SlotClaim.class,
+                    SlotGrant.class,
+                    SlotRelease.class,
+                    SlotUse.class,
                     RequestIdentity.class,
                     DecisionRecord.class);
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -337,7 +337,7 @@
                 "Availability zones whose replicas get no requests",
                 () -> mService.replicas().evacuatedZones().size());
         mDirectoryWatch.start();
-        mPeers.start(mTransport);
+        mPeers.start(mTransport, mTimers);
         mTimers.every("relay-idle", IDLE_TICK, this::onIdleTick);
         mTimers.every("digest", DIGEST_INTERVAL, mPeers::sendDigests);
         mTimers.every("quarantine", QUARANTINE_INTERVAL, mService.quarantine()::onTimer);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -9,7 +9,6 @@
 import io.persimmonreel.core.replica.ReplicaRegistry;
 import io.persimmonreel.core.retry.RetryBudget;
 import io.persimmonreel.core.route.CallerLimits;
-import io.persimmonreel.core.route.EngineProfile;
 import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.directory.DirectoryListener;
@@ -131,6 +130,10 @@
         return mReplicaObserver;
     }
 
+    RelayScheduler scheduler() {
+        return mScheduler;
+    }
+
     FleetNotices notices() {
         return mNotices;
     }
@@ -363,6 +366,7 @@
     void onSucceeded(final RelayCall call, final HttpResponseStatus status, final int events) {
         final Replica replica = call.replica();
         replica.health().onSuccess();
+        mScheduler.onServed(call);
         final int tokensPerEvent = tokensPerEvent(call.task().upstream());
         if (events > 2) {
             replica.onTokenTime(call.dispatch().streamMillis() / (events - 1) / tokensPerEvent);
@@ -487,12 +491,6 @@
 
     private int tokensPerEvent(final String upstream) {
         final RelayConfiguration configuration = mConfiguration;
-        return configuration == null
-                ? 1
-                : configuration
-                        .upstream(upstream)
-                        .flatMap(relayUpstream -> relayUpstream.engine())
-                        .map(EngineProfile::tokensPerEvent)
-                        .orElse(1);
+        return configuration == null ? 1 : configuration.tokensPerEvent(upstream);
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
@@ -19,6 +19,7 @@
     private final UpstreamConnectionPool mConnections;
     private final long mLastResortNanos;
     private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
+    private SlotGate mSlotGate = SlotGate.NONE;
 
     ReplicaObserver(
             final TimeSource time,
@@ -43,6 +44,10 @@
         return mRateLimits.coldReplicas().tryWrite(call.dispatch(), mTime.monotonicNanos());
     }
 
+    void use(final SlotGate gate) {
+        mSlotGate = gate;
+    }
+
     /** Applies what a replica says of itself in a response. */
     void onHeaders(
             final RelayCall call, final HttpResponseStatus status, final ReplicaHeaders headers) {
@@ -50,6 +55,7 @@
         final Replica replica = call.replica();
         if (headers.load() >= 0) {
             replica.onStatedLoad(headers.load(), now);
+            mSlotGate.onStatedLoad(replica, headers.load(), now);
         }
         mRateLimits.onResponse(call.dispatch(), headers.rateLimit(), now);
         mRateLimits.coldReplicas().onResponse(call.dispatch(), now);
