Place waiting requests in the order for overload

The queue sorts each upstream's requests by the soonest start once in a pass, and PlacementOrder arranges them by the capacity that the pass knows. Periods in which requests are deferred are logged (overload began, ended) and counted. 63 tests of the daemon's queue, shutdown, rate limits and availability pass.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PlacementPass.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PlacementPass.java
@@ -45,6 +45,19 @@
         return mCapacity.isEmpty();
     }
 
+    /**
+     * Predicts when a request gets a slot of the replicas that take requests now.
+     *
+     * @param aheadMillis the time in milliseconds for which those before it take a slot, added up
+     * @return the time in milliseconds, 0 if there is no such replica: it is not known then which
+     *     requests can be on time
+     */
+    double startMillis(final double aheadMillis) {
+        return mCapacity.isEmpty()
+                ? 0
+                : mCapacity.queuedMillis() + aheadMillis / mCapacity.ownSlots();
+    }
+
     /**
      * Predicts when the next request gets a slot.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -10,6 +10,7 @@
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.daemon.log.EventLog;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** Writes decisions on relayed requests to the log and updates the metrics. */
 final class RelayLog {
@@ -340,6 +341,26 @@
                 .write();
     }
 
+    /** Logs that not all requests that wait for an upstream can be on time any more. */
+    void overloadBegan(final String upstream, final int waiting, final int deferred) {
+        mMetrics.onOverload(upstream, "began");
+        mLog.event("overload", "began")
+                .put("upstream", upstream)
+                .put("waiting", waiting)
+                .put("deferred", deferred)
+                .write();
+    }
+
+    /** Logs that all requests that wait for an upstream can be on time again. */
+    void overloadEnded(final String upstream, final long nanos, final int mostDeferred) {
+        mMetrics.onOverload(upstream, "ended");
+        mLog.event("overload", "ended")
+                .put("upstream", upstream)
+                .put("for_ms", TimeUnit.NANOSECONDS.toMillis(nanos))
+                .put("most_deferred", mostDeferred)
+                .write();
+    }
+
     /** Logs that a replica says that it is leaving. */
     void leaving(final RelayCall call) {
         mMetrics.onAvailability(call.task().upstream(), "leaving");
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -44,6 +44,12 @@
                     "Replicas that said that they are leaving or want no requests for a time",
                     "upstream",
                     "event");
+    private final Counter mOverloads =
+            counter(
+                    "persimmonreel_relay_overloads_total",
+                    "Periods in which not all waiting requests could be on time, begun and ended",
+                    "upstream",
+                    "event");
     private final Counter mUnrequested =
             counter(
                     "persimmonreel_relay_unrequested_responses_total",
@@ -90,6 +96,10 @@
         mAvailability.labelValues(upstream, event).inc();
     }
 
+    void onOverload(final String upstream, final String event) {
+        mOverloads.labelValues(upstream, event).inc();
+    }
+
     void onUnrequested(final String upstream, final String kind) {
         mUnrequested.labelValues(upstream, kind).inc();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.admission.Admission;
+import io.persimmonreel.core.admission.OverloadOrder.Candidate;
 import io.persimmonreel.core.admission.PlaceForecast;
 import io.persimmonreel.core.admission.RateLimitedWait;
 import io.persimmonreel.core.admission.ReplicaForecast;
@@ -55,6 +56,7 @@
     private final ShutdownAdmission mShutdownAdmission = new ShutdownAdmission();
     private final SpareCapacity mSpareCapacity = new SpareCapacity();
     private final RequestQueue mQueue;
+    private final PlacementOrder mOrder;
     private final Map<String, ReturnSchedule> mReturns = new HashMap<>();
     private final Executor mEventLoop;
     private final Set<String> mPendingPasses = new LinkedHashSet<>();
@@ -85,6 +87,7 @@
         mRateLimits = service.rateLimits();
         mPlacement = new Placement(mPromptCache, seed);
         mQueue = new RequestQueue(heldLimits);
+        mOrder = new PlacementOrder(log);
     }
 
     /** Accepts from now on only requests that can be served before the process ends. */
@@ -118,6 +121,7 @@
      */
     void submit(final RelayCall call) {
         mQueue.add(new WaitingRequest(call, fastestRun(call)));
+        mOrder.onQueued(call, mService.nowNanos());
         Optional<WaitingRequest> last = mQueue.excess(mService.nowNanos());
         while (last.isPresent()) {
             final RelayCall lastCall = last.get().call();
@@ -133,6 +137,7 @@
 
     /** Tries to place the waiting requests of all upstreams. */
     void placeAll() {
+        mOrder.onTimer(mService.nowNanos());
         mQueue.upstreams().forEach(upstream -> place(upstream, MAXIMUM_UNPLACED_PER_TIMER));
     }
 
@@ -162,9 +167,10 @@
             return;
         }
         final long now = mService.nowNanos();
-        final List<WaitingRequest> requests = mQueue.inOrder(upstream, now);
-        final PlacementPass pass = newPass(upstream, requests.get(0).run(), maximumUnplaced);
-        for (final WaitingRequest request : requests) {
+        final List<Candidate<WaitingRequest>> soonest = mQueue.bySoonestStart(upstream, now);
+        final PlacementPass pass =
+                newPass(upstream, soonest.get(0).request().run(), maximumUnplaced);
+        for (final WaitingRequest request : mOrder.arrange(upstream, soonest, pass, now)) {
             if (request.call().phase() == RelayCall.Phase.WAITING
                     && !placeIsolated(request, pass)) {
                 pass.onHeld(request.run().totalMillis());
@@ -287,6 +293,7 @@
     private void send(
             final RelayCall call, final Choice choice, final int candidates, final long now) {
         mQueue.remove(call);
+        mOrder.onSent(call, now);
         if (!mService.quotaGate().isPermitted(call)) {
             mService.quotaGate().admit(call);
             return;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestQueue.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestQueue.java
@@ -1,6 +1,7 @@
 package io.persimmonreel.daemon.relay;
 
-import io.persimmonreel.core.admission.QueuePosition;
+import io.persimmonreel.core.admission.OverloadOrder;
+import io.persimmonreel.core.admission.OverloadOrder.Candidate;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -17,9 +18,6 @@
     private int mSize;
     private long mBodyBytes;
 
-    /** Holds a request with its position at one time. */
-    private record Entry(WaitingRequest request, QueuePosition position) {}
-
     RequestQueue(final HeldLimits limits) {
         mLimits = limits;
     }
@@ -73,13 +71,10 @@
         return mByUpstream.getOrDefault(upstream, Map.of()).values();
     }
 
-    /** Returns the waiting requests in the order in which they should be placed. */
-    List<WaitingRequest> inOrder(final String upstream, final long nowNanos) {
-        return waiting(upstream).stream()
-                .map(request -> new Entry(request, request.position(nowNanos)))
-                .sorted(Comparator.comparing(Entry::position))
-                .map(Entry::request)
-                .toList();
+    /** Returns the waiting requests, sorted by the soonest start. */
+    List<Candidate<WaitingRequest>> bySoonestStart(final String upstream, final long nowNanos) {
+        return OverloadOrder.bySoonestStart(
+                waiting(upstream).stream().map(request -> request.candidate(nowNanos)).toList());
     }
 
     /**
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingRequest.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingRequest.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.admission.OverloadOrder.Candidate;
 import io.persimmonreel.core.admission.QueuePosition;
 import io.persimmonreel.core.admission.RunForecast;
 
@@ -15,6 +16,11 @@
         return new WaitingRequest(call, newRun);
     }
 
+    /** Describes the request for the order of placement, which changes with time. */
+    Candidate<WaitingRequest> candidate(final long nowNanos) {
+        return Candidate.of(this, call.task().timeLeft(nowNanos), run, call.task().rank());
+    }
+
     /** Returns the position in the queue, which changes with time. */
     QueuePosition position(final long nowNanos) {
         return QueuePosition.of(call.task().timeLeft(nowNanos), run, call.task().rank());
