--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -55,6 +55,12 @@
                     "persimmonreel_relay_zone_evacuations_total",
                     "Availability zones that were evacuated or taken back",
                     "event");
+    private final Counter mOverloads =
+            counter(
+                    "persimmonreel_relay_overloads_total",
+                    "Periods in which not all waiting requests could be on time, begun and ended",
+                    "upstream",
+                    "event");
     private final Counter mUnrequested =
             counter(
                     "persimmonreel_relay_unrequested_responses_total",
@@ -120,6 +126,10 @@
         mEvacuations.labelValues(event).inc();
     }
 
+    void onOverload(final String upstream, final String event) {
+        mOverloads.labelValues(upstream, event).inc();
+    }
+
     void onUnrequested(final String upstream, final String kind) {
         mUnrequested.labelValues(upstream, kind).inc();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.admission.Admission;
+import io.persimmonreel.core.admission.OverloadOrder.Candidate;
 import io.persimmonreel.core.admission.PlaceForecast;
 import io.persimmonreel.core.admission.RateLimitedWait;
 import io.persimmonreel.core.admission.ReplicaForecast;
@@ -56,6 +57,7 @@
     private final ShutdownAdmission mShutdownAdmission = new ShutdownAdmission();
     private final SpareCapacity mSpareCapacity = new SpareCapacity();
     private final RequestQueue mQueue;
+    private final PlacementOrder mOrder;
     private final Map<String, ReturnSchedule> mReturns = new HashMap<>();
     private final Executor mEventLoop;
     private final Set<String> mPendingPasses = new LinkedHashSet<>();
@@ -87,6 +89,7 @@
         mRateLimits = service.rateLimits();
         mPlacement = new Placement(mPromptCache, seed);
         mQueue = new RequestQueue(heldLimits);
+        mOrder = new PlacementOrder(log);
     }
 
     /** Accepts from now on only requests that can be served before the process ends. */
@@ -126,6 +129,7 @@
     void submit(final RelayCall call) {
         mSlotGate.release(call);
         mQueue.add(new WaitingRequest(call, fastestRun(call)));
+        mOrder.onQueued(call, mService.nowNanos());
         Optional<WaitingRequest> last = mQueue.excess(mService.nowNanos());
         while (last.isPresent()) {
             final RelayCall lastCall = last.get().call();
@@ -147,6 +151,7 @@
 
     /** Tries to place the waiting requests of all upstreams. */
     void placeAll() {
+        mOrder.onTimer(mService.nowNanos());
         mQueue.upstreams().forEach(upstream -> place(upstream, MAXIMUM_UNPLACED_PER_TIMER));
     }
 
@@ -176,9 +181,10 @@
             return;
         }
         final long now = mService.nowNanos();
-        final List<WaitingRequest> requests = mQueue.inOrder(upstream, now);
-        final PlacementPass pass = newPass(upstream, requests.get(0).run(), maximumUnplaced);
-        for (final WaitingRequest request : requests) {
+        final List<Candidate<WaitingRequest>> soonest = mQueue.bySoonestStart(upstream, now);
+        final PlacementPass pass =
+                newPass(upstream, soonest.get(0).request().run(), maximumUnplaced);
+        for (final WaitingRequest request : mOrder.arrange(upstream, soonest, pass, now)) {
             if (request.call().phase() == RelayCall.Phase.WAITING
                     && !placeIsolated(request, pass)) {
                 pass.onHeld(request.run().totalMillis());
@@ -315,13 +321,17 @@
     /** Asks for a slot, unless this daemon has slots of its own. */
     private SlotAnswer askForSlot(
             final RelayCall call, final List<Replica> replicas, final long now) {
-        return mShares.isDivided(call.task().upstream())
-                ? SlotAnswer.NONE
-                : mSlotGate.ask(
+        return needsGrant(call)
+                ? mSlotGate.ask(
                         call,
                         mRateLimits.withPermit(replicas, now),
                         mQuarantine.excludedReplicas(call, now),
-                        now);
+                        now)
+                : SlotAnswer.NONE;
+    }
+
+    private boolean needsGrant(final RelayCall call) {
+        return !mShares.isDivided(call.task().upstream()) && mSlotGate.appliesTo(call);
     }
 
     /** Returns the granted replica, empty if there is no grant or the replica can't be used. */
@@ -353,6 +363,7 @@
     private void send(
             final RelayCall call, final Choice choice, final int candidates, final long now) {
         mQueue.remove(call);
+        mOrder.onSent(call, now);
         if (!mService.quotaGate().isPermitted(call)) {
             mSlotGate.release(call);
             mService.quotaGate().admit(call);
@@ -360,7 +371,9 @@
         }
         mLog.sent(call, choice, candidates, now);
         mRateLimits.onSent(choice.replica(), now);
-        mSlotGate.onSent(call, choice.replica());
+        if (needsGrant(call)) {
+            mSlotGate.onSent(call, choice.replica());
+        }
         call.dispatch(choice);
         mQuarantine.onSent(call, now);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/SlotGate.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/SlotGate.java
@@ -13,6 +13,11 @@
     /** Grants nothing. */
     SlotGate NONE = new SlotGate() {};
 
+    /** Returns whether requests like this one need a grant if their upstream is not divided. */
+    default boolean appliesTo(final RelayCall call) {
+        return false;
+    }
+
     /**
      * Claims a slot for a request, or returns what is known of its claim.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/SlotGrants.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/SlotGrants.java
@@ -78,15 +78,18 @@
         flushWithin(Duration.ZERO);
     }
 
+    /** Requests whose replica matters for other reasons than a free slot are not granted one. */
+    @Override
+    public boolean appliesTo(final RelayCall call) {
+        return !mPeers.topology().isMesh() && call.task().work().outputTokens() <= 0;
+    }
+
     @Override
     public SlotAnswer ask(
             final RelayCall call,
             final Collection<Replica> permitted,
             final Set<String> excluded,
             final long nowNanos) {
-        if (!applies(call)) {
-            return SlotAnswer.NONE;
-        }
         final String upstream = call.task().upstream();
         final Set<String> usable =
                 permitted.stream()
@@ -111,11 +114,7 @@
 
     @Override
     public void onSent(final RelayCall call, final Replica replica) {
-        if (applies(call)) {
-            mExchange.claimant().onSent(call, call.task().upstream(), replica.entry().id());
-        } else {
-            release(call);
-        }
+        mExchange.claimant().onSent(call, call.task().upstream(), replica.entry().id());
     }
 
     @Override
@@ -181,11 +180,6 @@
         mService.log().slots(upstream, event);
     }
 
-    /** Requests whose replica matters for other reasons than a free slot are not granted one. */
-    private boolean applies(final RelayCall call) {
-        return !mPeers.topology().isMesh() && call.task().work().outputTokens() <= 0;
-    }
-
     private void release(final RelayCall call, final double runMillis) {
         mExchange.claimant().release(call, runMillis);
         flushSoon();
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/SlotGrantsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/SlotGrantsTest.java
@@ -5,6 +5,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.persimmonreel.core.membership.HubTopology;
+import io.persimmonreel.core.peer.DirectoryVersion;
 import io.persimmonreel.core.peer.PeerMessage.RelayDigest;
 import io.persimmonreel.core.peer.PeerMessage.SlotTransfer;
 import io.persimmonreel.core.peer.SlotClaim;
@@ -72,7 +73,8 @@
             final List<String> members,
             final String role)
             throws InterruptedException {
-        final RelayDigest digest = new RelayDigest(address, false, 20, members, 0, 0, List.of());
+        final RelayDigest digest = new RelayDigest(
+                        address, false, 20, members, DirectoryVersion.NONE, 0, List.of());
         peer.send(digest);
         RelayFixture.await(() -> relay.log().contains("\"role\":\"" + role + "\""));
         peer.send(digest);
