--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -6,7 +6,6 @@
 import io.persimmonreel.core.admission.PlaceForecast;
 import io.persimmonreel.core.admission.RateLimitedWait;
 import io.persimmonreel.core.admission.ReplicaForecast;
-import io.persimmonreel.core.admission.ResponseForecast;
 import io.persimmonreel.core.admission.ReturnSchedule;
 import io.persimmonreel.core.admission.RunForecast;
 import io.persimmonreel.core.admission.ShutdownAdmission;
@@ -448,22 +447,11 @@
     private boolean mayFinish(final RelayCall call, final Choice choice, final long now) {
         final long arrivedNanos = call.task().request().arrivedNanos();
         return mShutdownAdmission.accepts(
-                forecast(call.task(), choice).withDeadline(call.task().millisLeft(now)),
+                call.task().forecast(choice).withDeadline(call.task().millisLeft(now)),
                 arrivedNanos - mShutdown.balancersReactedNanos() >= 0,
                 (mShutdown.processEndNanos() - now) / NANOS_PER_MILLI);
     }
 
-    private static ResponseForecast forecast(final RelayTask task, final Choice choice) {
-        final int expectedTokens = task.work().outputTokens();
-        return expectedTokens <= 0
-                ? ResponseForecast.ofPlainService(choice.totalMillis())
-                : ResponseForecast.ofTokens(
-                        choice.totalMillis(),
-                        expectedTokens,
-                        task.request().callerHeaders().maximumOutputTokens(),
-                        choice.replica().tokenMillis(Placement.TYPICAL_TOKEN_MILLIS));
-    }
-
     private void onQuarantined(final RelayCall call, final ContentQuarantine.Refusal refusal) {
         if (!call.canBeRefused()) {
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, refusal.reason());
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayTask.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayTask.java
@@ -1,6 +1,9 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.admission.ResponseForecast;
 import io.persimmonreel.core.admission.TimeLeft;
+import io.persimmonreel.core.placement.Placement;
+import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.placement.WorkSize;
 import io.persimmonreel.core.route.RelayCustomer;
 import io.persimmonreel.core.route.Route;
@@ -64,4 +67,16 @@
                 Math.min(patienceMillis, millisLeft),
                 millisLeft);
     }
+
+    /** Predicts how long the response takes at the chosen replica. */
+    ResponseForecast forecast(final Choice choice) {
+        final int expectedTokens = work.outputTokens();
+        return expectedTokens <= 0
+                ? ResponseForecast.ofPlainService(choice.totalMillis())
+                : ResponseForecast.ofTokens(
+                        choice.totalMillis(),
+                        expectedTokens,
+                        request.callerHeaders().maximumOutputTokens(),
+                        choice.replica().tokenMillis(Placement.TYPICAL_TOKEN_MILLIS));
+    }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/SlotGrantsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/SlotGrantsTest.java
@@ -73,8 +73,8 @@
             final List<String> members,
             final String role)
             throws InterruptedException {
-        final RelayDigest digest = new RelayDigest(
-                        address, false, 20, members, DirectoryVersion.NONE, 0, List.of());
+        final RelayDigest digest =
+                new RelayDigest(address, false, 20, members, DirectoryVersion.NONE, 0, List.of());
         peer.send(digest);
         RelayFixture.await(() -> relay.log().contains("\"role\":\"" + role + "\""));
         peer.send(digest);
