Play crashes of replicas against the bound of cold ones

The bound was played for replicas that are cold all the time only.

The model of the fleet now also plays a crash that some daemons see and the rest hears of, with entries that are up to 2 s late.

--- a/core/src/test/java/io/persimmonreel/core/quota/ColdArrivals.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/ColdArrivals.java
@@ -49,9 +49,18 @@
 
     /** Returns the most arrivals at a replica in a window. */
     int mostInWindow() {
+        return mostInWindow(0, Integer.MAX_VALUE);
+    }
+
+    /** Returns the most arrivals at a replica in a window between two times. */
+    int mostInWindow(final int fromMillis, final int toMillis) {
         int most = 0;
         for (final List<Integer> arrivals : mArrivalMillis) {
-            final List<Integer> sorted = arrivals.stream().sorted().toList();
+            final List<Integer> sorted =
+                    arrivals.stream()
+                            .filter(at -> at >= fromMillis && at < toMillis)
+                            .sorted()
+                            .toList();
             int first = 0;
             for (int last = 0; last < sorted.size(); last++) {
                 while (sorted.get(last) - sorted.get(first) >= WINDOW_MILLIS) {
--- a/core/src/test/java/io/persimmonreel/core/quota/ColdReplicaBoundTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/ColdReplicaBoundTest.java
@@ -24,16 +24,20 @@
 
     private static final int SETTLE_MILLIS = 12_000;
 
-    /** A fleet and the arrivals at its replicas, which are cold all the time. */
+    /** A fleet and the arrivals at its replicas. */
     private record Run(QuotaFleet fleet, ColdArrivals arrivals) {
         static Run of(final int daemons, final long seed) {
+            return of(daemons, ReplicaStarts.alwaysCold(), seed);
+        }
+
+        static Run of(final int daemons, final ReplicaStarts starts, final long seed) {
             final ColdArrivals arrivals = new ColdArrivals(REPLICAS, MAXIMUM_LATENCY_MILLIS, seed);
             final QuotaFleet fleet =
                     new QuotaFleet(
                             daemons,
                             QuotaFleet.customer(1),
                             ColdReplicaDaemonModel.factory(
-                                    WarmUpRate.of(BOUND, PER_SECOND), arrivals),
+                                    WarmUpRate.of(BOUND, PER_SECOND), arrivals, starts),
                             seed);
             fleet.run(SETTLE_MILLIS, 0);
             return new Run(fleet, arrivals);
@@ -44,7 +48,10 @@
         }
 
         void checkBound(final String faults, final long seed) {
-            final int most = arrivals.mostInWindow();
+            checkBound(faults, seed, arrivals.mostInWindow());
+        }
+
+        void checkBound(final String faults, final long seed, final int most) {
             System.out.printf(
                     "cold replicas: %s, %d daemons, seed %d: at most %d arrivals in 1 s%n",
                     faults, fleet.size(), seed, most);
@@ -112,6 +119,21 @@
             run.checkBound(parts + " parts", seed);
         }
 
+        /** Guards against requests of daemons that did not see a crash and read the entry late. */
+        @ParameterizedTest
+        @CsvSource({"7, 300, 1", "59, 300, 1", "59, 1000, 2", "138, 300, 1", "138, 1000, 2"})
+        void afterACrashStayWithinTheBound(
+                final int daemons, final int downMillis, final long seed) {
+            final ReplicaStarts starts = ReplicaStarts.warm(seed);
+            final Run run = Run.of(daemons, starts, seed);
+            starts.crash(run.fleet().nowMillis(), downMillis);
+            run.play(downMillis + 5_000);
+            run.checkBound(
+                    "crash and " + downMillis + " ms",
+                    seed,
+                    run.arrivals().mostInWindow(starts.upMillis(), starts.warmMillis()));
+        }
+
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6})
         void afterAnySequenceOfFaultsStayWithinTheBound(final long seed) {
--- a/core/src/test/java/io/persimmonreel/core/quota/QuotaDaemonModel.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/QuotaDaemonModel.java
@@ -98,6 +98,10 @@
         return mTopology.isHub();
     }
 
+    boolean isHub(final int index) {
+        return mTopology.isHub(name(index));
+    }
+
     @Override
     public boolean isLinkedTo(final int peer) {
         return mTopology.links().contains(name(peer));
