Bound and measure the estimate of cached prompts

The estimate of cached prompt parts had no bound but the number of entries, survived restarts, and assumed constant hit ratios.

Where the memory of the engines is configured, bound it by that memory, by 25 s and by the start of the replica, and measure the hit ratios from the time to the first event. Without it, nothing changes.

--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -60,14 +60,14 @@
     /** The actual output may be longer than the estimate by about this factor. */
     private static final double LENGTH_MARGIN = 1.6;
 
+    /** The ratios where the memory of the engines is unknown; they are never measured. */
+    private static final PromptHitRatios ASSUMED_RATIOS = new PromptHitRatios();
+
     /**
-     * Probability that the first, second and third preferred replica of a session have its prompt
-     * cached by requests of other daemons. All daemons rank them alike, so daemons that find the
-     * first one busy agree on the next one.
+     * Weight of the prefill time in a score; prefill takes engine time from other requests. A
+     * weight in proportion to the load of the replica puts fewer requests on time below capacity,
+     * since long prompts then go to slow idle replicas.
      */
-    private static final double[] PREFERRED_HIT_PROBABILITIES = {0.85, 0.5, 0.25};
-
-    /** Weight of the prefill time in a score; prefill takes engine time from other requests. */
     private static final double PREFILL_WEIGHT = 2.5;
 
     /**
@@ -92,12 +92,12 @@
     /** Fraction of a replica's slots that other daemons may have taken since their last report. */
     private static final double UNSEEN_SHARE = 0.4;
 
-    private static final Replica[] NO_REPLICAS = {};
     private static final double MICROS_PER_MILLI = 1e3;
 
     private final PromptCacheEstimate mPromptCache;
     private final SplittableRandom mRandom;
     private SlotShares mShares = SlotShares.UNDIVIDED;
+    private long mLastChoiceNanos;
 
     /**
      * Creates a placement without divided slots.
@@ -135,9 +135,11 @@
             final Set<String> excluded,
             final double millisLeft,
             final long nowNanos) {
+        mLastChoiceNanos = nowNanos;
         final Context context =
                 new Context(
                         work,
+                        ratios(work, replicas),
                         preferred(work, replicas, nowNanos),
                         borrowing(replicas, nowNanos),
                         millisLeft,
@@ -206,6 +208,7 @@
      * @param withheld the slots at the replica that are left to other daemons; the score counts
      *     them as taken
      * @param scoreMillis the score, lower is better
+     * @param cached the part of the prompt that may be cached at the replica
      */
     public record Choice(
             Replica replica,
@@ -215,7 +218,8 @@
             int prefillTokens,
             double load,
             double withheld,
-            double scoreMillis) {
+            double scoreMillis,
+            CachedPrompt cached) {
         /**
          * Returns how long the response takes from the time at which the request gets a slot.
          *
@@ -244,13 +248,17 @@
      * @return the run at the fastest replica without other requests
      */
     public RunForecast fastestRun(final WorkSize work, final Collection<Replica> replicas) {
+        final PromptHitRatios ratios = ratios(work, replicas);
         RunForecast fastest = null;
         for (final Replica replica : replicas) {
             final double tokenMillis = replica.tokenMillis(TYPICAL_TOKEN_MILLIS);
             final RunForecast run =
                     idleRun(
                             work,
-                            uncachedTokens(work, replica, NO_REPLICAS),
+                            ratios.uncachedTokens(
+                                    work,
+                                    mPromptCache.cachedTokens(work, replica, mLastChoiceNanos),
+                                    -1),
                             tokenMillis,
                             replica.prefillTokenMicros(
                                     tokenMillis * PREFILL_MICROS_PER_TOKEN_MILLI),
@@ -287,6 +295,7 @@
      * Contains the inputs of a choice that are the same for all replicas.
      *
      * @param work the size of the request
+     * @param ratios the fractions of prompts that are cached
      * @param preferred the preferred replicas of its session, the best first
      * @param borrowing the limits on the use of slots of other daemons
      * @param millisLeft the time in milliseconds until its deadline
@@ -294,6 +303,7 @@
      */
     private record Context(
             WorkSize work,
+            PromptHitRatios ratios,
             Replica[] preferred,
             BorrowingLimits borrowing,
             double millisLeft,
@@ -310,7 +320,9 @@
         final double decodeMillis = work.outputTokens() * tokenMillis;
         final double prefillMicros =
                 replica.prefillTokenMicros(tokenMillis * PREFILL_MICROS_PER_TOKEN_MILLI);
-        final int uncachedTokens = uncachedTokens(work, replica, context.preferred());
+        final int cachedTokens = mPromptCache.cachedTokens(work, replica, context.nowNanos());
+        final int rank = rank(context.preferred(), replica);
+        final int uncachedTokens = context.ratios().uncachedTokens(work, cachedTokens, rank);
         final double ownPrefillMillis = uncachedTokens * prefillMicros / 1_000.0;
         final double prefillMillis =
                 ownPrefillMillis + replica.pendingPrefill() * prefillMicros / 1_000.0;
@@ -352,7 +364,15 @@
                 uncachedTokens,
                 expected,
                 withheld,
-                score);
+                score,
+                context.ratios() != ASSUMED_RATIOS
+                        ? CachedPrompt.of(
+                                work,
+                                cachedTokens,
+                                rank,
+                                prefillMicros / MICROS_PER_MILLI,
+                                tokenMillis + prefillMillis - ownPrefillMillis)
+                        : CachedPrompt.NONE);
     }
 
     /**
@@ -422,16 +442,21 @@
                 || mRandom.nextDouble() < share;
     }
 
-    private int uncachedTokens(
-            final WorkSize work, final Replica replica, final Replica[] preferred) {
-        final int uncachedTokens =
-                Math.max(0, work.promptTokens() - mPromptCache.cachedTokens(work, replica));
+    private PromptHitRatios ratios(final WorkSize work, final Collection<Replica> replicas) {
+        return work.parts().isEmpty() || replicas.isEmpty()
+                ? ASSUMED_RATIOS
+                : mPromptCache
+                        .measuredRatios(replicas.iterator().next().entry().upstream())
+                        .orElse(ASSUMED_RATIOS);
+    }
+
+    private static int rank(final Replica[] preferred, final Replica replica) {
         for (int rank = 0; rank < preferred.length; rank++) {
             if (preferred[rank] == replica) {
-                return (int) (uncachedTokens * (1.0 - PREFERRED_HIT_PROBABILITIES[rank]));
+                return rank;
             }
         }
-        return uncachedTokens;
+        return -1;
     }
 
     /**
@@ -440,8 +465,7 @@
     private static Replica[] preferred(
             final WorkSize work, final Collection<Replica> replicas, final long nowNanos) {
         final long session = work.sessionHash();
-        final Replica[] preferred =
-                new Replica[session == 0 ? 0 : PREFERRED_HIT_PROBABILITIES.length];
+        final Replica[] preferred = new Replica[session == 0 ? 0 : PromptHitRatios.PREFERRED];
         final long[] scores = new long[preferred.length];
         for (final Replica replica : replicas) {
             if (preferred.length == 0
--- a/core/src/main/java/io/persimmonreel/core/route/EngineProfile.java
+++ b/core/src/main/java/io/persimmonreel/core/route/EngineProfile.java
@@ -8,6 +8,9 @@
  *     0 if unknown
  */
 public record EngineProfile(int tokensPerEvent, long memoryTokens) {
+    /** The profile of engines about which nothing is configured. */
+    public static final EngineProfile UNKNOWN = new EngineProfile(1);
+
     /**
      * Creates the profile of engines whose memory is unknown.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -123,6 +123,9 @@
                         .put("prefill", choice.prefillTokens())
                         .put("queued_ms", Math.round(call.task().waitedMillis(nowNanos)))
                         .put("left_ms", Math.round(call.task().millisLeft(nowNanos)));
+        if (choice.cached().isExpected()) {
+            line.put("cached_ms", Math.round(choice.cached().missMillis()));
+        }
         final AdvertisedRateLimit limit = choice.replica().rateLimit();
         if (limit.isStated()) {
             line.put("limit_per_minute", perMinute(choice.replica()))
@@ -167,6 +170,11 @@
                 call.task().upstream(),
                 call.task().rank(),
                 nowNanos - call.task().request().arrivedNanos());
+        final Choice choice = call.dispatch().choice();
+        if (choice.waitMillis() <= 0) {
+            mMetrics.onCachedPrompt(
+                    call.task().upstream(), choice.cached(), call.dispatch().firstEventMillis());
+        }
     }
 
     void answered(
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.placement.CachedPrompt;
 import io.persimmonreel.daemon.operator.MetricSet;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -12,6 +13,7 @@
  */
 final class RelayMetrics {
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
 
     /** Histogram buckets, from a fast plain response to a long stream. */
     private static final double[] BUCKET_SECONDS = {
@@ -78,6 +80,12 @@
                     "persimmonreel_relay_directory_events_total",
                     "Documents ignored, held or replaced after a restore of the directory",
                     "event");
+    private final Counter mCachedPrompts =
+            counter(
+                    "persimmonreel_relay_cached_prompt_seconds_total",
+                    "Prefill time of prompts that replicas might have cached, and had by estimate",
+                    "upstream",
+                    "event");
     private final Histogram mQueueTime =
             histogram(
                     "persimmonreel_relay_queue_seconds",
@@ -130,6 +138,18 @@
         mDirectoryEvents.labelValues(event).inc();
     }
 
+    /** Counts the prefill time of a part that may be cached, and what of it was saved. */
+    void onCachedPrompt(
+            final String upstream, final CachedPrompt cached, final double firstMillis) {
+        if (cached.isMeasurable()) {
+            final double seconds = cached.missMillis() / MILLIS_PER_SECOND;
+            mCachedPrompts.labelValues(upstream, "possible").inc(seconds);
+            mCachedPrompts
+                    .labelValues(upstream, "found")
+                    .inc(seconds * cached.hitRatio(firstMillis));
+        }
+    }
+
     void onSent(final String upstream, final int rank, final long nanos) {
         mQueueTime.labelValues(upstream, String.valueOf(rank)).observe(nanos / NANOS_PER_SECOND);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -50,7 +50,7 @@
     private final ReplicaRegistry mReplicas;
     private final ContentQuarantine mQuarantine;
     private final ReplicaRateLimits mRateLimits;
-    private final PromptCacheEstimate mPromptCache = new PromptCacheEstimate();
+    private final PromptCacheEstimate mPromptCache;
     private final Placement mPlacement;
     private final ShutdownAdmission mShutdownAdmission = new ShutdownAdmission();
     private final SpareCapacity mSpareCapacity = new SpareCapacity();
@@ -83,6 +83,7 @@
         mReplicas = service.replicas();
         mQuarantine = service.quarantine();
         mRateLimits = service.rateLimits();
+        mPromptCache = new PromptCacheEstimate(name -> service.engine(name).memoryTokens());
         mPlacement = new Placement(mPromptCache, seed);
         mQueue = new RequestQueue(heldLimits);
     }
@@ -194,6 +195,7 @@
     /** Records that the replica of a request finished its prefill. */
     void onPrefillDone(final RelayCall call) {
         mPromptCache.onPrefill(call.task().work(), call.replica(), mService.nowNanos());
+        mPromptCache.onFirstEvent(call.dispatch().choice(), call.dispatch().firstEventMillis());
     }
 
     /**
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -355,7 +355,9 @@
         mLog.firstEvent(call, now);
         dispatch.replica()
                 .onPredictionError(dispatch.firstEventMillis() - dispatch.choice().firstMillis());
-        if (dispatch.choice().waitMillis() <= 0 && prefill >= LONG_PROMPT_TOKENS) {
+        if (dispatch.choice().waitMillis() <= 0
+                && prefill >= LONG_PROMPT_TOKENS
+                && !dispatch.choice().cached().isExpected()) {
             dispatch.replica().onPrefillTime(dispatch.firstEventMillis() * 1_000.0 / prefill);
         }
     }
@@ -363,7 +365,7 @@
     void onSucceeded(final RelayCall call, final HttpResponseStatus status, final int events) {
         final Replica replica = call.replica();
         replica.health().onSuccess();
-        final int tokensPerEvent = tokensPerEvent(call.task().upstream());
+        final int tokensPerEvent = engine(call.task().upstream()).tokensPerEvent();
         if (events > 2) {
             replica.onTokenTime(call.dispatch().streamMillis() / (events - 1) / tokensPerEvent);
             mOutputLengths.addSample(call.task().route().name(), events * tokensPerEvent);
@@ -485,14 +487,12 @@
                 .anyMatch(r -> r.waitMillis(now) < millisLeft && !used.contains(r.entry().id()));
     }
 
-    private int tokensPerEvent(final String upstream) {
+    /** Returns the properties of an upstream's engines, those of unknown ones for others. */
+    EngineProfile engine(final String upstream) {
         final RelayConfiguration configuration = mConfiguration;
-        return configuration == null
-                ? 1
-                : configuration
-                        .upstream(upstream)
-                        .flatMap(relayUpstream -> relayUpstream.engine())
-                        .map(EngineProfile::tokensPerEvent)
-                        .orElse(1);
+        return Optional.ofNullable(configuration)
+                .flatMap(known -> known.upstream(upstream))
+                .flatMap(relayUpstream -> relayUpstream.engine())
+                .orElse(EngineProfile.UNKNOWN);
     }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/StallRuleTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/StallRuleTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.persimmonreel.core.placement.CachedPrompt;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
@@ -40,7 +41,8 @@
         final Replica replica =
                 new Replica(new ReplicaEntry("r", "app", "127.0.0.1", 1, "zone", 4, false, 1));
         return new Dispatch(
-                new Choice(replica, predictedFirstMillis, 0, 1_000, 0, 0, 0, 0), nanos(1));
+                new Choice(replica, predictedFirstMillis, 0, 1_000, 0, 0, 0, 0, CachedPrompt.NONE),
+                nanos(1));
     }
 
     private static long nanos(final long millis) {
