--- a/core/src/main/java/io/persimmonreel/core/route/RelayConfiguration.java
+++ b/core/src/main/java/io/persimmonreel/core/route/RelayConfiguration.java
@@ -88,16 +88,14 @@
     }
 
     /**
-     * Returns the usual number of tokens per event of an upstream's streams.
+     * Returns the properties of an upstream's engines.
      *
      * @param name the upstream's name
-     * @return the tokens, 1 if the upstream is unknown or has no engines
+     * @return the properties, {@link EngineProfile#UNKNOWN} if the upstream is unknown or has no
+     *     engines
      */
-    public int tokensPerEvent(final String name) {
-        return upstream(name)
-                .flatMap(RelayUpstream::engine)
-                .map(EngineProfile::tokensPerEvent)
-                .orElse(1);
+    public EngineProfile engine(final String name) {
+        return upstream(name).flatMap(RelayUpstream::engine).orElse(EngineProfile.UNKNOWN);
     }
 
     /**
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -358,7 +358,9 @@
         mLog.firstEvent(call, now);
         dispatch.replica()
                 .onPredictionError(dispatch.firstEventMillis() - dispatch.choice().firstMillis());
-        if (dispatch.choice().waitMillis() <= 0 && prefill >= LONG_PROMPT_TOKENS) {
+        if (dispatch.choice().waitMillis() <= 0
+                && prefill >= LONG_PROMPT_TOKENS
+                && !dispatch.choice().cached().isExpected()) {
             dispatch.replica().onPrefillTime(dispatch.firstEventMillis() * 1_000.0 / prefill);
         }
     }
@@ -367,7 +369,7 @@
         final Replica replica = call.replica();
         replica.health().onSuccess();
         mScheduler.onServed(call);
-        final int tokensPerEvent = tokensPerEvent(call.task().upstream());
+        final int tokensPerEvent = engine(call.task().upstream()).tokensPerEvent();
         if (events > 2) {
             replica.onTokenTime(call.dispatch().streamMillis() / (events - 1) / tokensPerEvent);
             mOutputLengths.addSample(call.task().route().name(), events * tokensPerEvent);
@@ -489,8 +491,9 @@
                 .anyMatch(r -> r.waitMillis(now) < millisLeft && !used.contains(r.entry().id()));
     }
 
-    private int tokensPerEvent(final String upstream) {
+    /** Returns the properties of an upstream's engines, those of unknown ones for others. */
+    EngineProfile engine(final String upstream) {
         final RelayConfiguration configuration = mConfiguration;
-        return configuration == null ? 1 : configuration.tokensPerEvent(upstream);
+        return configuration == null ? EngineProfile.UNKNOWN : configuration.engine(upstream);
     }
 }
