--- a/core/src/main/java/io/persimmonreel/core/placement/CachedPrompt.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/CachedPrompt.java
@@ -1,5 +1,8 @@
 package io.persimmonreel.core.placement;
 
+import io.persimmonreel.core.placement.Placement.Choice;
+import io.persimmonreel.core.replica.Replica;
+
 /**
  * Describes the part of a prompt that an engine may have cached.
  *
@@ -15,6 +18,55 @@
     /** Shorter prefills don't show in the time to the first event, in milliseconds. */
     private static final double MINIMUM_MILLIS = 10;
 
+    /**
+     * Adds to a choice the part of the prompt that may be cached.
+     *
+     * @param choice the choice
+     * @param work the size of the request
+     * @param sentTokens the tokens of the parts that this daemon sent to the replica
+     * @param rank the rank of the replica among those preferred for the session, negative if none
+     * @return the choice with the part
+     */
+    static Choice addTo(
+            final Choice choice, final WorkSize work, final int sentTokens, final int rank) {
+        final Replica replica = choice.replica();
+        final double tokenMillis = replica.tokenMillis(Placement.TYPICAL_TOKEN_MILLIS);
+        final double prefillMillis =
+                replica.prefillTokenMicros(tokenMillis * Placement.PREFILL_MICROS_PER_TOKEN_MILLI)
+                        / 1_000;
+        return new Choice(
+                replica,
+                choice.firstMillis(),
+                choice.waitMillis(),
+                choice.totalMillis(),
+                choice.prefillTokens(),
+                choice.load(),
+                choice.withheld(),
+                choice.scoreMillis(),
+                of(
+                        work,
+                        sentTokens,
+                        rank,
+                        prefillMillis,
+                        tokenMillis + replica.pendingPrefill() * prefillMillis));
+    }
+
+    /**
+     * Returns the rank of a replica among those preferred for a session.
+     *
+     * @param preferred the preferred replicas, the best first
+     * @param replica the replica
+     * @return the index, negative if the replica is none of them
+     */
+    static int rank(final Replica[] preferred, final Replica replica) {
+        for (int rank = 0; rank < preferred.length; rank++) {
+            if (preferred[rank] == replica) {
+                return rank;
+            }
+        }
+        return -1;
+    }
+
     /**
      * Describes the larger one of the parts that this daemon and that other daemons sent.
      *
@@ -26,7 +78,7 @@
      *     milliseconds
      * @return the description
      */
-    static CachedPrompt of(
+    private static CachedPrompt of(
             final WorkSize work,
             final int sentTokens,
             final int rank,
--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -28,7 +28,7 @@
      * Ratio of the prefill time per prompt token in microseconds to the time to generate a token in
      * milliseconds, assumed before the first measurement of the prefill time.
      */
-    private static final double PREFILL_MICROS_PER_TOKEN_MILLI = 4.0;
+    static final double PREFILL_MICROS_PER_TOKEN_MILLI = 4.0;
 
     /** Service time of a plain request before the first measurement, in milliseconds. */
     private static final double TYPICAL_PLAIN_MILLIS = 50.0;
@@ -185,7 +185,19 @@
                 best = choice;
             }
         }
-        return Optional.ofNullable(best);
+        return context.ratios() == ASSUMED_RATIOS || best == null
+                ? Optional.ofNullable(best)
+                : Optional.of(describeCached(context, best));
+    }
+
+    /** Adds the part that may be cached, which would cost too much time for each candidate. */
+    private Choice describeCached(final Context context, final Choice choice) {
+        final WorkSize work = context.work();
+        return CachedPrompt.addTo(
+                choice,
+                work,
+                mPromptCache.cachedTokens(work, choice.replica(), context.nowNanos()),
+                CachedPrompt.rank(context.preferred(), choice.replica()));
     }
 
     private static boolean isBetter(final Choice choice, final Choice other) {
@@ -321,7 +333,7 @@
         final double prefillMicros =
                 replica.prefillTokenMicros(tokenMillis * PREFILL_MICROS_PER_TOKEN_MILLI);
         final int cachedTokens = mPromptCache.cachedTokens(work, replica, context.nowNanos());
-        final int rank = rank(context.preferred(), replica);
+        final int rank = CachedPrompt.rank(context.preferred(), replica);
         final int uncachedTokens = context.ratios().uncachedTokens(work, cachedTokens, rank);
         final double ownPrefillMillis = uncachedTokens * prefillMicros / 1_000.0;
         final double prefillMillis =
@@ -365,14 +377,7 @@
                 expected,
                 withheld,
                 score,
-                context.ratios() != ASSUMED_RATIOS
-                        ? CachedPrompt.of(
-                                work,
-                                cachedTokens,
-                                rank,
-                                prefillMicros / MICROS_PER_MILLI,
-                                tokenMillis + prefillMillis - ownPrefillMillis)
-                        : CachedPrompt.NONE);
+                CachedPrompt.NONE);
     }
 
     /**
@@ -450,15 +455,6 @@
                         .orElse(ASSUMED_RATIOS);
     }
 
-    private static int rank(final Replica[] preferred, final Replica replica) {
-        for (int rank = 0; rank < preferred.length; rank++) {
-            if (preferred[rank] == replica) {
-                return rank;
-            }
-        }
-        return -1;
-    }
-
     /**
      * Returns the usable replicas with the highest affinity scores for a session, highest first.
      */
