--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -9,6 +9,7 @@
 import io.persimmonreel.core.replica.ReplicaRegistry;
 import io.persimmonreel.core.retry.RetryBudget;
 import io.persimmonreel.core.route.CallerLimits;
+import io.persimmonreel.core.route.EngineProfile;
 import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.directory.DirectoryListener;
