Count only refused connections and joint breaks as crashes

A replica counted as cold for the whole fleet when a daemon lost its last connection to it or a connection was reset while it opened. Replicas also reset connections beyond their maximum and lose single responses. Now a refused connection counts, and two or more exchanges that break at once. The test that waits for a refusal now also waits for its notice.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
@@ -5,22 +5,23 @@
 import io.persimmonreel.core.time.TimeSource;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.List;
 
 /** Learns the state of replicas from the exchanges with them. Not thread safe. */
 final class ReplicaObserver {
     /**
-     * Parts of the reasons with which a connection fails if nothing accepts it, or if the process
-     * ends while it is being opened.
+     * Part of the reason with which a connection fails that nothing accepts. A connection that is
+     * reset shows no crash: replicas reset those beyond their maximum, and lose single responses.
      */
-    private static final List<String> CRASH_REASONS = List.of("refused", "reset");
+    private static final String REFUSED = "refused";
+
+    /** The fewest exchanges that break at once from which on a replica counts as cold. */
+    private static final int MINIMUM_BROKEN = 2;
 
     private final TimeSource mTime;
     private final RelayLog mLog;
     private final ActiveCalls mCalls;
     private final ContentQuarantine mQuarantine;
     private final ReplicaRateLimits mRateLimits;
-    private final UpstreamConnectionPool mConnections;
     private final long mLastResortNanos;
     private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
     private SlotGate mSlotGate = SlotGate.NONE;
@@ -38,7 +39,6 @@
         mCalls = calls;
         mQuarantine = quarantine;
         mRateLimits = rateLimits;
-        mConnections = connections;
         mLastResortNanos = lastResort.toNanos();
         mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
     }
@@ -78,7 +78,7 @@
             mLog.avoided(call.replica(), "unreachable: " + reason);
         }
         // A connection that times out may show a fault of the network only.
-        if (CRASH_REASONS.stream().anyMatch(reason::contains)) {
+        if (reason.contains(REFUSED)) {
             mRateLimits.coldReplicas().onCrash(call.replica(), now, now);
         }
     }
@@ -89,28 +89,6 @@
             mLog.avoided(call.replica(), reason);
         }
         mCrashDetector.onBroken(call.replica(), ContentQuarantine.brokenExchange(call), now);
-        if (isLastConnectionLost(call)) {
-            mRateLimits.coldReplicas().onCrash(call.replica(), now, now);
-        }
-    }
-
-    /**
-     * Returns whether the replica ended the connection of a call and no other connection shows that
-     * it still runs. Waiting for the crash detector would let requests reach a replica that is back
-     * by then.
-     */
-    private boolean isLastConnectionLost(final RelayCall call) {
-        final UpstreamExchange exchange = call.dispatch().exchange();
-        return exchange != null
-                && (exchange.end() == UpstreamExchange.End.RESET
-                        || exchange.end() == UpstreamExchange.End.END_OF_INPUT)
-                && !mConnections.hasOpenIdle(call.replica())
-                && mCalls.all().stream()
-                        .noneMatch(
-                                other ->
-                                        other != call
-                                                && other.replica() == call.replica()
-                                                && other.isAtReplica());
     }
 
     void onError(final RelayCall call, final HttpResponseStatus status) {
@@ -142,7 +120,9 @@
             final Collection<BrokenExchange> exchanges,
             final long crashNanos) {
         mLog.crashed(replica, exchanges.size());
-        mRateLimits.coldReplicas().onCrash(replica, crashNanos, mTime.monotonicNanos());
+        if (exchanges.size() >= MINIMUM_BROKEN) {
+            mRateLimits.coldReplicas().onCrash(replica, crashNanos, mTime.monotonicNanos());
+        }
         mQuarantine.onCrash(replica, exchanges, mCalls.all(), crashNanos, mTime.monotonicNanos());
     }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ColdReplicaLimitsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ColdReplicaLimitsTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -52,14 +53,16 @@
         return relay.request("GET", "/lookup/1", ATTEMPT_HEADER, "");
     }
 
-    /** Sends requests until the replica, which may accept one more connection, is gone. */
-    private static void awaitUnreachable(final RelayFixture relay) throws InterruptedException {
+    /** Sends requests until the replica is gone, which may accept one more connection before. */
+    private static void awaitUnreachable(final RelayFixture relay, final BooleanSupplier until)
+            throws InterruptedException {
         final String headers = ATTEMPT_HEADER + "Persimmonreel-Deadline: 500\r\n";
         RelayFixture.await(
                 () -> {
                     try {
                         return relay.request("GET", "/lookup/1", headers, "")
-                                .startsWith("HTTP/1.1 503");
+                                        .startsWith("HTTP/1.1 503")
+                                && until.getAsBoolean();
                     } catch (final IOException e) {
                         return false;
                     }
@@ -73,8 +76,7 @@
             try (RelayFixture relay = start(1, Optional.of(BOUND));
                     ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
                 relay.replica(0).close();
-                awaitUnreachable(relay);
-                RelayFixture.await(() -> !peer.received(ReplicaCrashNotice.class).isEmpty());
+                awaitUnreachable(relay, () -> !peer.received(ReplicaCrashNotice.class).isEmpty());
                 assertThat(peer.received(ReplicaCrashNotice.class).get(0).crashes())
                         .extracting(ReplicaCrash::replica)
                         .containsExactly("r0");
@@ -91,8 +93,35 @@
             try (RelayFixture relay = start(1, Optional.empty());
                     ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
                 relay.replica(0).close();
-                awaitUnreachable(relay);
-                RelayFixture.await(() -> relay.log().contains("unreachable: "));
+                awaitUnreachable(relay, () -> relay.log().contains("unreachable: "));
+                assertThat(peer.received(ReplicaCrashNotice.class)).isEmpty();
+                assertThat(relay.log()).doesNotContain("\"event\":\"cold\"");
+            }
+        }
+    }
+
+    /**
+     * Guards against replicas that lose a response and count as cold for it: while responses were
+     * lost on many of them, the whole fleet sent to the few others.
+     */
+    @Nested
+    class AReplicaThatLosesAResponse {
+        @Test
+        void isNotCold() throws Exception {
+            try (RelayFixture relay = start(1, Optional.of(BOUND));
+                    ScriptedPeer peer = new ScriptedPeer(relay, 1)) {
+                for (int i = 0; i < 2 * REQUESTS; i++) {
+                    assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
+                }
+                relay.replica(0)
+                        .addScript(
+                                e -> {
+                                    throw new IOException("the response is lost");
+                                })
+                        .addScript(e -> respond(e, 200, "done"));
+                assertThat(relay.request("POST", "/charge/1", ATTEMPT_HEADER, "x"))
+                        .startsWith("HTTP/1.1 502");
+                assertThat(lookup(relay)).startsWith("HTTP/1.1 200");
                 assertThat(peer.received(ReplicaCrashNotice.class)).isEmpty();
                 assertThat(relay.log()).doesNotContain("\"event\":\"cold\"");
             }
