Route slots and units to their collectors by the same code

SlotGrants repeated how QuotaPeers finds the collector and tells leaves from hubs; both now ask PeerExchange. SlotExchange repeated the routing for uses, claims and releases, and looked up the collector again to find that it is the granter. A filter without effect and two methods without callers are gone.

--- a/core/src/main/java/io/persimmonreel/core/grant/SlotExchange.java
+++ b/core/src/main/java/io/persimmonreel/core/grant/SlotExchange.java
@@ -9,11 +9,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 /**
@@ -163,15 +163,6 @@
                 .min((a, b) -> Long.signum(a - b));
     }
 
-    /**
-     * Returns the number of claims that wait for slots that this daemon grants.
-     *
-     * @return the claims
-     */
-    public int waiting() {
-        return mGranters.values().stream().mapToInt(grants -> grants.mGranter.waiting()).sum();
-    }
-
     /**
      * Passes on or applies what a claimant sent. What has no recipient is dropped. Releases come
      * last, since a hub may combine a statement of use with a later release.
@@ -183,35 +174,46 @@
             final boolean isForwarded,
             final long nowNanos) {
         for (final SlotUse use : uses) {
-            final Optional<Incarnation> to = recipient(use.upstream(), isForwarded);
-            to.ifPresent(peer -> mMailbox.add(peer, use));
-            granter(to, use.upstream(), nowNanos)
-                    .ifPresent(granter -> granter.onUse(use, nowNanos));
+            route(
+                    use.upstream(),
+                    isForwarded,
+                    nowNanos,
+                    peer -> mMailbox.add(peer, use),
+                    granter -> granter.onUse(use, nowNanos));
         }
         for (final SlotClaim claim : claims) {
-            final Optional<Incarnation> to = recipient(claim.upstream(), isForwarded);
-            to.ifPresent(peer -> mMailbox.add(peer, claim));
-            granter(to, claim.upstream(), nowNanos)
-                    .ifPresent(granter -> granter.onClaim(claim, nowNanos));
+            route(
+                    claim.upstream(),
+                    isForwarded,
+                    nowNanos,
+                    peer -> mMailbox.add(peer, claim),
+                    granter -> granter.onClaim(claim, nowNanos));
         }
         for (final SlotRelease release : releases) {
-            final Optional<Incarnation> to = recipient(release.upstream(), isForwarded);
-            to.ifPresent(peer -> mMailbox.add(peer, release));
-            granter(to, release.upstream(), nowNanos)
-                    .ifPresent(granter -> granter.onRelease(release, nowNanos));
+            route(
+                    release.upstream(),
+                    isForwarded,
+                    nowNanos,
+                    peer -> mMailbox.add(peer, release),
+                    granter -> granter.onRelease(release, nowNanos));
         }
     }
 
-    private Optional<Incarnation> recipient(final String upstream, final boolean isForwarded) {
-        return isForwarded ? mRouting.collector(upstream) : Optional.empty();
+    /** Passes something on to the peer that leads to the granter, or to the granter here. */
+    private void route(
+            final String upstream,
+            final boolean isForwarded,
+            final long nowNanos,
+            final Consumer<Incarnation> forward,
+            final Consumer<SlotGranter> apply) {
+        final Optional<Incarnation> recipient =
+                isForwarded ? mRouting.collector(upstream) : Optional.empty();
+        recipient.ifPresentOrElse(forward, () -> granter(upstream, nowNanos).ifPresent(apply));
     }
 
     /** Returns the granter of this daemon for what has no other recipient. */
-    private Optional<SlotGranter> granter(
-            final Optional<Incarnation> recipient, final String upstream, final long nowNanos) {
-        if (recipient.isPresent()
-                || !mRouting.isGranter(upstream)
-                || mRouting.replicas(upstream).isEmpty()) {
+    private Optional<SlotGranter> granter(final String upstream, final long nowNanos) {
+        if (!mRouting.isGranter(upstream) || mRouting.replicas(upstream).isEmpty()) {
             return Optional.empty();
         }
         final Grants grants =
@@ -249,7 +251,6 @@
         }
         mRouting.peer(grant.origin())
                 .or(() -> Optional.ofNullable(mVias.get(grant.origin())))
-                .filter(Objects::nonNull)
                 .ifPresent(peer -> mMailbox.add(peer, grant));
     }
 }
--- a/core/src/main/java/io/persimmonreel/core/grant/SlotGranter.java
+++ b/core/src/main/java/io/persimmonreel/core/grant/SlotGranter.java
@@ -176,15 +176,6 @@
                         mLeases.nextNanos(first(Set.of(), nowNanos).claim().origin(), nowNanos));
     }
 
-    /**
-     * Returns the number of claims that wait.
-     *
-     * @return the claims
-     */
-    public int waiting() {
-        return mQueue.size();
-    }
-
     private boolean isExpired(final Waiting waiting, final long nowNanos) {
         final long age = nowNanos - waiting.receivedNanos();
         return age >= CLAIM_EXPIRY_NANOS
--- a/core/src/main/java/io/persimmonreel/core/grant/SlotMailbox.java
+++ b/core/src/main/java/io/persimmonreel/core/grant/SlotMailbox.java
@@ -14,9 +14,9 @@
 
 /** Collects what goes to each peer, so that it is sent in one message. Not thread safe. */
 final class SlotMailbox {
-    private final Map<Incarnation, Letter> mLetters = new LinkedHashMap<>();
+    private final Map<Incarnation, Batch> mBatches = new LinkedHashMap<>();
 
-    private static final class Letter {
+    private static final class Batch {
         private final List<SlotClaim> mClaims = new ArrayList<>();
         private final List<SlotRelease> mReleases = new ArrayList<>();
         private final List<SlotUse> mUses = new ArrayList<>();
@@ -32,29 +32,29 @@
     }
 
     void add(final Incarnation to, final SlotClaim claim) {
-        letter(to).mClaims.add(claim);
+        batch(to).mClaims.add(claim);
     }
 
     void add(final Incarnation to, final SlotRelease release) {
-        letter(to).mReleases.add(release);
+        batch(to).mReleases.add(release);
     }
 
     void add(final Incarnation to, final SlotUse use) {
-        letter(to).mUses.add(use);
+        batch(to).mUses.add(use);
     }
 
     void add(final Incarnation to, final SlotGrant grant) {
-        letter(to).mGrants.add(grant);
+        batch(to).mGrants.add(grant);
     }
 
     /** Sends what was collected. */
     void send(final BiConsumer<Incarnation, SlotTransfer> sender) {
-        final Map<Incarnation, Letter> letters = new LinkedHashMap<>(mLetters);
-        mLetters.clear();
-        letters.forEach((to, letter) -> sender.accept(to, letter.message()));
+        final Map<Incarnation, Batch> batches = new LinkedHashMap<>(mBatches);
+        mBatches.clear();
+        batches.forEach((to, batch) -> sender.accept(to, batch.message()));
     }
 
-    private Letter letter(final Incarnation to) {
-        return mLetters.computeIfAbsent(to, peer -> new Letter());
+    private Batch batch(final Incarnation to) {
+        return mBatches.computeIfAbsent(to, peer -> new Batch());
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -31,6 +31,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -414,6 +415,20 @@
         return heard;
     }
 
+    /**
+     * Returns the peer to which this daemon passes what is collected for a key, empty if this
+     * daemon collects it itself or hears no collector.
+     */
+    Optional<Incarnation> collector(final String key) {
+        final Map<String, Incarnation> heard = heardPeers(mTime.monotonicNanos());
+        return mSelector.topology().collector(key, heard.keySet()).map(heard::get);
+    }
+
+    /** Returns whether this hub passes on to the collector what a peer sends: if it is a leaf. */
+    boolean isForwardedFor(final Incarnation peer) {
+        return mSelector.topology().isHub() && !isHub(peer);
+    }
+
     /** Returns the address of a peer, empty if it is not known yet. */
     String addressOf(final Incarnation incarnation) {
         final Peer peer = mPeers.get(incarnation);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaPeers.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaPeers.java
@@ -16,7 +16,6 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -134,13 +133,12 @@
 
     @Override
     public Optional<Incarnation> collector(final String customer) {
-        final Map<String, Incarnation> heard = mPeers.heardPeers(mTime.monotonicNanos());
-        return mPeers.topology().collector(customer, heard.keySet()).map(heard::get);
+        return mPeers.collector(customer);
     }
 
     @Override
     public boolean isForwardedFor(final Incarnation peer) {
-        return mPeers.topology().isHub() && !mPeers.topology().isHub(nameOf(peer));
+        return mPeers.isForwardedFor(peer);
     }
 
     @Override
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/SlotGrants.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/SlotGrants.java
@@ -17,7 +17,6 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -97,7 +96,7 @@
                         .map(replica -> replica.entry().id())
                         .filter(id -> !excluded.contains(id))
                         .collect(Collectors.toUnmodifiableSet());
-        if (usable.isEmpty() || !isGranter(upstream) && collector(upstream).isEmpty()) {
+        if (usable.isEmpty() || !mPeers.topology().isHub() && collector(upstream).isEmpty()) {
             release(call);
             return SlotAnswer.NONE;
         }
@@ -140,13 +139,12 @@
 
     @Override
     public Optional<Incarnation> collector(final String upstream) {
-        final Map<String, Incarnation> heard = mPeers.heardPeers(mTime.monotonicNanos());
-        return mPeers.topology().collector(upstream, heard.keySet()).map(heard::get);
+        return mPeers.collector(upstream);
     }
 
     @Override
     public boolean isForwardedFor(final Incarnation peer) {
-        return mPeers.topology().isHub() && !mPeers.topology().isHub(mPeers.addressOf(peer));
+        return mPeers.isForwardedFor(peer);
     }
 
     @Override
