--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ColdReplicaLimitsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ColdReplicaLimitsTest.java
@@ -38,7 +38,7 @@
                                 new RelayUpstream(
                                         "app",
                                         Optional.empty(),
-                                        Optional.of(new WarmUp(3_000, PER_SECOND)))),
+                                        Optional.of(new WarmUp(PER_SECOND)))),
                         new NativeDialect(),
                         bound);
         for (int i = 0; i < replicas; i++) {
