--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/JoinedBody.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/JoinedBody.java
@@ -13,24 +13,24 @@
  * follow, which the text of a body has no reason to contain. Not thread safe.
  */
 final class JoinedBody {
-    private static final byte[] STATUS_LINE = ascii("HTTP/1.");
-
-    private final SearchProcessor mStatusLine =
-            AbstractSearchProcessorFactory.newKmpSearchProcessorFactory(STATUS_LINE)
-                    .newSearchProcessor();
+    private final SearchProcessor mStatusLine = processor("HTTP/1.");
     private final SearchProcessor mAttemptField;
     private boolean mHasStatusLine;
 
     /**
-     * Creates the detection for one response.
+     * Creates the detection for the responses on one connection.
      *
      * @param attemptField the name of the header field with the attempt id
      */
     JoinedBody(final String attemptField) {
-        mAttemptField =
-                AbstractSearchProcessorFactory.newKmpSearchProcessorFactory(
-                                ascii("\r\n" + attemptField + ":"))
-                        .newSearchProcessor();
+        mAttemptField = processor("\r\n" + attemptField + ":");
+    }
+
+    /** Begins the body of the next response. */
+    void begin() {
+        mStatusLine.reset();
+        mAttemptField.reset();
+        mHasStatusLine = false;
     }
 
     /** Returns whether the body, with its next bytes, contains the head of another response. */
@@ -55,7 +55,9 @@
         return mHasStatusLine && bytes.forEachByte(mAttemptField) >= 0;
     }
 
-    private static byte[] ascii(final String text) {
-        return text.getBytes(StandardCharsets.US_ASCII);
+    private static SearchProcessor processor(final String text) {
+        return AbstractSearchProcessorFactory.newKmpSearchProcessorFactory(
+                        text.getBytes(StandardCharsets.US_ASCII))
+                .newSearchProcessor();
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -61,7 +61,7 @@
     private boolean mSkippingResponse;
     private int mSkippedResponses;
     private int mSkippedBytes;
-    private JoinedBody mJoinedBody;
+    private final JoinedBody mJoinedBody;
     private boolean mReusable;
     private int mIgnoredBytes;
     private long mIgnoredSinceNanos;
@@ -86,6 +86,7 @@
         mReplica = replica;
         mPool = pool;
         mDialect = dialect;
+        mJoinedBody = new JoinedBody(dialect.attemptField());
         mRecord =
                 new ConnectionRecord(
                         replica, pool.nextConnectionNumber(), pool.unrequestedResponseListener());
@@ -322,7 +323,7 @@
         mRecord.exchange().onResponse(response, replicaHeaders, framing, mPool.nowNanos());
         mResponseStarted = true;
         mEndsWithConnection = framing == ResponseFraming.CONNECTION_END;
-        mJoinedBody = new JoinedBody(mDialect.attemptField());
+        mJoinedBody.begin();
         mReusable = isReusable(response);
         mIdleLimitNanos = KeepAliveHeader.idleLimitNanos(response.headers());
         mListener.onHeaders(response, replicaHeaders);
