--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryStateTest.java
@@ -7,9 +7,7 @@
 import io.persimmonreel.core.peer.PeerMessage.DirectoryRequest;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.request.Step;
-import io.persimmonreel.core.route.CallerLimits;
 import io.persimmonreel.core.route.RelayConfiguration;
-import io.persimmonreel.core.route.RouteTable;
 import io.persimmonreel.daemon.directory.DirectorySource.Document;
 import io.persimmonreel.daemon.log.EventLog;
 import io.persimmonreel.daemon.time.SystemTimeSource;
@@ -42,27 +40,12 @@
     }
 
     /** Reads a configuration from its version as text, and a replica from "ready" or "draining". */
-    private static final class TextFormat implements DirectoryFormat {
-        @Override
-        public boolean isConfiguration(final String name) {
-            return name.equals("config");
-        }
-
-        @Override
-        public boolean isReplica(final String name) {
-            return name.startsWith("r");
-        }
-
+    private static final class TextFormat extends TestFormat {
         @Override
         public RelayConfiguration readConfiguration(final String name, final byte[] content)
                 throws DirectoryException {
             try {
-                return new RelayConfiguration(
-                        Long.parseLong(new String(content, StandardCharsets.UTF_8)),
-                        new RouteTable(List.of()),
-                        List.of(),
-                        CallerLimits.STANDARD,
-                        List.of());
+                return configuration(Long.parseLong(new String(content, StandardCharsets.UTF_8)));
             } catch (final NumberFormatException e) {
                 throw new DirectoryException(Step.CONFIGURE, name, "must be a number", e);
             }
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryWatchTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryWatchTest.java
@@ -3,9 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.persimmonreel.core.replica.ReplicaEntry;
-import io.persimmonreel.core.route.CallerLimits;
 import io.persimmonreel.core.route.RelayConfiguration;
-import io.persimmonreel.core.route.RouteTable;
 import io.persimmonreel.daemon.log.EventLog;
 import io.persimmonreel.daemon.time.VirtualTimers;
 import java.io.OutputStream;
@@ -13,7 +11,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -57,12 +54,7 @@
     }
 
     /** Decodes a configuration from its version. */
-    private static final class VersionFormat implements DirectoryFormat {
-        @Override
-        public boolean isConfiguration(final String name) {
-            return name.equals(VirtualDirectory.CONFIGURATION);
-        }
-
+    private static final class VersionFormat extends TestFormat {
         @Override
         public boolean isReplica(final String name) {
             return false;
@@ -70,12 +62,7 @@
 
         @Override
         public RelayConfiguration readConfiguration(final String name, final byte[] content) {
-            return new RelayConfiguration(
-                    Long.parseLong(new String(content, StandardCharsets.UTF_8)),
-                    new RouteTable(List.of()),
-                    List.of(),
-                    CallerLimits.STANDARD,
-                    List.of());
+            return configuration(Long.parseLong(new String(content, StandardCharsets.UTF_8)));
         }
 
         @Override
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/RestoreFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/RestoreFixture.java
@@ -4,9 +4,7 @@
 import io.persimmonreel.core.peer.PeerMessage.DirectoryCopy;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.request.Step;
-import io.persimmonreel.core.route.CallerLimits;
 import io.persimmonreel.core.route.RelayConfiguration;
-import io.persimmonreel.core.route.RouteTable;
 import io.persimmonreel.daemon.directory.DirectorySource.Document;
 import io.persimmonreel.daemon.log.EventLog;
 import io.persimmonreel.daemon.time.VirtualTimers;
@@ -112,25 +110,10 @@
     }
 
     /** Decodes the texts. */
-    private static final class TextFormat implements DirectoryFormat {
-        @Override
-        public boolean isConfiguration(final String name) {
-            return name.equals(CONFIGURATION);
-        }
-
-        @Override
-        public boolean isReplica(final String name) {
-            return name.startsWith("r");
-        }
-
+    private static final class TextFormat extends TestFormat {
         @Override
         public RelayConfiguration readConfiguration(final String name, final byte[] content) {
-            return new RelayConfiguration(
-                    Long.parseLong(words(content)[0]),
-                    new RouteTable(List.of()),
-                    List.of(),
-                    CallerLimits.STANDARD,
-                    List.of());
+            return configuration(Long.parseLong(words(content)[0]));
         }
 
         @Override
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/ZoneEvacuationsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/ZoneEvacuationsTest.java
@@ -6,9 +6,7 @@
 import io.persimmonreel.core.peer.PeerMessage.DirectoryCopy;
 import io.persimmonreel.core.peer.PeerMessage.DirectoryRequest;
 import io.persimmonreel.core.replica.ReplicaEntry;
-import io.persimmonreel.core.route.CallerLimits;
 import io.persimmonreel.core.route.RelayConfiguration;
-import io.persimmonreel.core.route.RouteTable;
 import io.persimmonreel.daemon.directory.DirectorySource.Document;
 import io.persimmonreel.daemon.log.EventLog;
 import io.persimmonreel.daemon.time.VirtualTimers;
@@ -40,17 +38,7 @@
     }
 
     /** Reads replicas "rN", a configuration "config" and evacuations "out/ZONE". */
-    private static final class Format implements DirectoryFormat {
-        @Override
-        public boolean isConfiguration(final String name) {
-            return name.equals("config");
-        }
-
-        @Override
-        public boolean isReplica(final String name) {
-            return name.startsWith("r");
-        }
-
+    private static final class Format extends TestFormat {
         @Override
         public Optional<String> evacuatedZone(final String name) {
             return name.startsWith("out/") ? Optional.of(name.substring(4)) : Optional.empty();
@@ -58,8 +46,7 @@
 
         @Override
         public RelayConfiguration readConfiguration(final String name, final byte[] content) {
-            return new RelayConfiguration(
-                    7, new RouteTable(List.of()), List.of(), CallerLimits.STANDARD, List.of());
+            return configuration(7);
         }
 
         @Override
