Measure what the control of a daemon costs, by message, timer and pass

Counters now tell the messages, bytes and time by message type, the time by timer, and the requests and time of placement passes.

--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerConnection.java
@@ -46,7 +46,9 @@
      */
     boolean send(final Record message) {
         try {
-            return sendFrame(mCodec.encode(message));
+            final byte[] frame = mCodec.encode(message);
+            mTransport.traffic().onSent(message.getClass(), frame.length, 1);
+            return sendFrame(frame);
         } catch (final PeerException e) {
             LOG.log(Level.ERROR, "peer: Failed to encode a message. " + e.getMessage());
             return false;
@@ -101,8 +103,13 @@
     protected void channelRead0(final ChannelHandlerContext context, final ByteBuf frame) {
         final byte[] bytes = ByteBufUtil.getBytes(frame);
         mTransport.countReceivedFrame(bytes.length);
+        final long beginNanos = System.nanoTime();
         try {
-            handle(mCodec.decode(bytes));
+            final Record message = mCodec.decode(bytes);
+            handle(message);
+            mTransport
+                    .traffic()
+                    .onReceived(message.getClass(), bytes.length, System.nanoTime() - beginNanos);
         } catch (final PeerException e) {
             LOG.log(
                     Level.WARNING,
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
@@ -63,6 +63,7 @@
     private final Map<InetSocketAddress, Incarnation> mPeersByAddress = new ConcurrentHashMap<>();
     private final LongAdder mReceivedBytes = new LongAdder();
     private final LongAdder mDroppedMessages = new LongAdder();
+    private volatile PeerTraffic mTraffic = PeerTraffic.NONE;
     private volatile Channel mServer;
     private volatile PeerTls mTls;
 
@@ -131,6 +132,15 @@
         mPolicy = Objects.requireNonNull(policy, "policy");
     }
 
+    /**
+     * Sets what observes the messages to and from peers.
+     *
+     * @param traffic the observer
+     */
+    public void observe(final PeerTraffic traffic) {
+        mTraffic = Objects.requireNonNull(traffic, "traffic");
+    }
+
     /**
      * Enables TLS for all connections opened from now on.
      *
@@ -229,6 +239,7 @@
             LOG.log(Level.ERROR, "peer: Failed to encode a message. " + e.getMessage());
             return;
         }
+        mTraffic.onSent(message.getClass(), frame.length, peers.size());
         peers.forEach(peer -> deliver(peer, connection -> connection.sendFrame(frame)));
     }
 
@@ -302,6 +313,10 @@
         mReceivedBytes.add(bytes + LENGTH_PREFIX_BYTES);
     }
 
+    PeerTraffic traffic() {
+        return mTraffic;
+    }
+
     private void openConnection(final InetSocketAddress address) {
         final Bootstrap bootstrap =
                 new Bootstrap()
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -12,6 +12,7 @@
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.core.time.TimerService;
 import io.persimmonreel.daemon.DaemonException;
+import io.persimmonreel.daemon.cost.ControlCost;
 import io.persimmonreel.daemon.directory.DirectoryFormat;
 import io.persimmonreel.daemon.directory.DirectorySource;
 import io.persimmonreel.daemon.directory.DirectoryState;
@@ -147,7 +148,10 @@
         mSettings = settings;
         mTime = time;
         mLog = log;
-        mTimers = new ScheduledTimerService(time, mGroup.next());
+        final ScheduledTimerService timers = new ScheduledTimerService(time, mGroup.next());
+        final ControlCost cost = new ControlCost(mMetrics.set());
+        timers.observe(cost);
+        mTimers = timers;
         final SecureRandom random = new SecureRandom();
         final long seed = random.nextLong();
         final RetryBudget budget = new RetryBudget(settings.retryRatio(), settings.retrySlack());
@@ -198,6 +202,7 @@
         mTransport =
                 new PeerTransport(
                         self, FLEET_NAME, secret.accepted(), mPeers, mGroup, PEER_IDLE_TIMEOUT);
+        mTransport.observe(cost);
         mService.notices().sendChangesTo(mPeers::broadcast);
         mService.configurationMonitor().observeDirectory(mDirectoryWatch::silentNanos);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -379,6 +379,11 @@
                 .write();
     }
 
+    /** Counts a pass over the waiting requests of an upstream. */
+    void pass(final String upstream, final int requests, final long nanos) {
+        mMetrics.onPass(upstream, requests, nanos);
+    }
+
     /** Logs that not all requests that wait for an upstream can be on time any more. */
     void overloadBegan(final String upstream, final int waiting, final int deferred) {
         mMetrics.onOverload(upstream, "began");
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -98,6 +98,21 @@
                     "Prefill time of prompts that replicas might have cached, and had by estimate",
                     "upstream",
                     "event");
+    private final Counter mPasses =
+            counter(
+                    "persimmonreel_relay_placement_passes_total",
+                    "Passes over the waiting requests of an upstream",
+                    "upstream");
+    private final Counter mPassRequests =
+            counter(
+                    "persimmonreel_relay_placement_pass_requests_total",
+                    "Requests that passes tried to place, each counted in each pass",
+                    "upstream");
+    private final Counter mPassTime =
+            counter(
+                    "persimmonreel_relay_placement_pass_seconds_total",
+                    "Time that passes took on the event loop",
+                    "upstream");
     private final Histogram mQueueTime =
             histogram(
                     "persimmonreel_relay_queue_seconds",
@@ -170,6 +185,12 @@
         }
     }
 
+    void onPass(final String upstream, final int requests, final long nanos) {
+        mPasses.labelValues(upstream).inc();
+        mPassRequests.labelValues(upstream).inc(requests);
+        mPassTime.labelValues(upstream).inc(nanos / NANOS_PER_SECOND);
+    }
+
     void onSent(final String upstream, final int rank, final long nanos) {
         mQueueTime.labelValues(upstream, String.valueOf(rank)).observe(nanos / NANOS_PER_SECOND);
     }
@@ -186,6 +207,10 @@
         mMetrics.gauge(name, help, value);
     }
 
+    MetricSet set() {
+        return mMetrics;
+    }
+
     byte[] write() throws IOException {
         return mMetrics.write();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -190,6 +190,7 @@
                 pass.onHeld(request.run().totalMillis());
             }
         }
+        mLog.pass(upstream, soonest.size(), mService.nowNanos() - now);
     }
 
     private PlacementPass newPass(
--- a/daemon/src/main/java/io/persimmonreel/daemon/time/ScheduledTimerService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/time/ScheduledTimerService.java
@@ -25,6 +25,7 @@
     private final TimeSource mTime;
     private final ScheduledExecutorService mExecutor;
     private final boolean mFixedRate;
+    private volatile TimerObserver mObserver = TimerObserver.NONE;
 
     /**
      * Creates a timer service with its own threads, which calls listeners at a fixed rate.
@@ -57,6 +58,15 @@
         mFixedRate = fixedRate;
     }
 
+    /**
+     * Sets what observes the runs of listeners.
+     *
+     * @param observer the observer
+     */
+    public void observe(final TimerObserver observer) {
+        mObserver = Objects.requireNonNull(observer, "observer");
+    }
+
     private static ScheduledExecutorService threadPool(final int threads) {
         final AtomicInteger number = new AtomicInteger();
         final ScheduledThreadPoolExecutor pool =
@@ -130,8 +140,10 @@
     }
 
     private void notifyListener(final String name, final TimerListener listener) {
+        final long beginNanos = mTime.monotonicNanos();
         try {
-            listener.onTimer(mTime.monotonicNanos());
+            listener.onTimer(beginNanos);
+            mObserver.onRun(name, mTime.monotonicNanos() - beginNanos);
         } catch (final RuntimeException | Error e) {
             logFailure(name, e);
         }
