Keep no exemplars in metrics, which cost a wake-up for an observation

Cause: the metrics library samples exemplars unless told otherwise, and schedules a task on another thread after each sample, to accept the next one. The text format that daemons serve has no exemplars.

In a real process at 3 requests a second it took 0.041 to 0.051 s in 25 s, 5% of its event loop's time, besides what the event loop spends to schedule the tasks.

--- a/daemon/src/main/java/io/persimmonreel/daemon/operator/MetricSet.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/operator/MetricSet.java
@@ -9,7 +9,12 @@
 import java.io.IOException;
 import java.util.function.DoubleSupplier;
 
-/** Holds the metrics of one component and writes them in the text format of Prometheus. */
+/**
+ * Holds the metrics of one component and writes them in the text format of Prometheus.
+ *
+ * <p>The text format has no exemplars. The metrics keep none, since the library schedules a task on
+ * another thread for each that it samples.
+ */
 public final class MetricSet {
     private final PrometheusRegistry mRegistry = new PrometheusRegistry();
 
@@ -22,7 +27,12 @@
      * @return the counter
      */
     public Counter counter(final String name, final String help, final String... labels) {
-        return Counter.builder().name(name).help(help).labelNames(labels).register(mRegistry);
+        return Counter.builder()
+                .name(name)
+                .help(help)
+                .labelNames(labels)
+                .withoutExemplars()
+                .register(mRegistry);
     }
 
     /**
@@ -41,6 +51,7 @@
                 .help(help)
                 .labelNames(labels)
                 .classicOnly()
+                .withoutExemplars()
                 .classicUpperBounds(bounds)
                 .register(mRegistry);
     }
