Send the units of a customer in one grant, not one for each expiry time

Cause: a daemon passes the units that it does not need to their collector at each interval. Units expire in slots of 50 ms, and each slot was a grant of its own, an object to decode, to count and to serve. A hub gets those of all its leaves: customers x slots x leaves, 16 x 20 a second x 11 at 138 daemons.

Change: a grant carries the units of one customer by time of expiry, in the order and with the expiry times of before.

Tests: UnitExchangeTest.UnusedUnits.ofACustomerTakeOneGrantInAMessage fails on the code before (20 grants). FleetQuotaBoundTest is unchanged and passes.

--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -342,13 +342,19 @@
     record UnitClaim(long number, String customer, long units, boolean patient, int lifeMillis) {}
 
     /**
-     * Gives units of a customer's quota.
+     * Gives units of a customer's quota that expire at several times, each the same time before or
+     * after the one before it.
      *
      * @param customer the customer's name
-     * @param units the units
-     * @param lifeMillis the time until they expire, in milliseconds
-     */
-    record UnitGrant(String customer, long units, int lifeMillis) {}
+     * @param lifeMillis the time until the first element expires, in milliseconds
+     * @param stepMillis the time from the expiry of an element to that of the next one, in
+     *     milliseconds; may be negative
+     * @param units the units of each element, 0 for times at which none expire
+     */
+    record UnitGrant(String customer, int lifeMillis, int stepMillis, List<Long> units) {
+        /** The most elements that a receiver accepts. */
+        public static final int MAXIMUM_ELEMENTS = 256;
+    }
 
     /**
      * Refuses a claim.
--- a/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -254,11 +254,13 @@
         quota.claim(claim, supplier, mInflowShare, nowNanos);
     }
 
-    void onUnits(final String customer, final UnitLot lot, final long nowNanos) {
+    void onUnits(final String customer, final List<UnitLot> lots, final long nowNanos) {
         final CustomerQuota quota = mQuotas.get(customer);
         if (quota != null) {
-            quota.add(lot, nowNanos);
-            quota.serve(nowNanos);
+            for (final UnitLot lot : lots) {
+                quota.add(lot, nowNanos);
+                quota.serve(nowNanos);
+            }
         }
     }
 
--- a/core/src/main/java/io/persimmonreel/core/quota/UnitExchange.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/UnitExchange.java
@@ -147,9 +147,9 @@
                 && transfer.echoNanos() - nowNanos <= 0
                 && transfer.echoNanos() - mEarliestEchoNanos >= 0) {
             for (final UnitGrant grant : transfer.grants()) {
-                final long expiry = transfer.echoNanos() + grant.lifeMillis() * NANOS_PER_MILLI;
-                mObserver.onReceived(grant.customer(), grant.units());
-                mQuota.onUnits(grant.customer(), new UnitLot(grant.units(), expiry), nowNanos);
+                final List<UnitLot> lots = UnitLots.ofGrant(grant, transfer.echoNanos());
+                mObserver.onReceived(grant.customer(), UnitLots.sum(lots));
+                mQuota.onUnits(grant.customer(), lots, nowNanos);
             }
         }
         for (final UnitShortage shortage : transfer.shortages()) {
@@ -233,10 +233,9 @@
 
     private void give(
             final Link link, final String customer, final List<UnitLot> lots, final long nowNanos) {
-        for (final UnitLot lot : lots) {
-            final long lifeMillis = (lot.expiryNanos() - nowNanos) / NANOS_PER_MILLI;
-            link.mGrants.add(new UnitGrant(customer, lot.units(), (int) lifeMillis));
-            mObserver.onGiven(customer, lot.units());
+        if (!lots.isEmpty()) {
+            link.mGrants.add(UnitLots.toGrant(customer, lots, nowNanos));
+            mObserver.onGiven(customer, UnitLots.sum(lots));
         }
     }
 
--- a/core/src/main/java/io/persimmonreel/core/quota/UnitStock.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/UnitStock.java
@@ -14,8 +14,11 @@
  * are rounded down to whole slots. Not thread safe.
  */
 final class UnitStock {
-    /** The resolution of times of expiry, in nanoseconds. */
-    static final long SLOT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    /** The resolution of times of expiry, in milliseconds. */
+    static final int SLOT_MILLIS = 50;
+
+    /** The same in nanoseconds. */
+    static final long SLOT_NANOS = TimeUnit.MILLISECONDS.toNanos(SLOT_MILLIS);
 
     private final TreeMap<Long, Long> mUnitsBySlot = new TreeMap<>();
     private long mTotal;
--- a/core/src/test/java/io/persimmonreel/core/quota/UnitExchangeTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/UnitExchangeTest.java
@@ -102,6 +102,17 @@
             assertThat(mCollector.level(1_001 * MILLI)).isBetween(before / 2, before);
         }
 
+        /**
+         * Guards against messages that grow with the number of expiry times of a customer's units.
+         */
+        @Test
+        void ofACustomerTakeOneGrantInAMessage() {
+            connect();
+            mUser.level(1_000 * MILLI);
+            mUser.mExchange.onInterval(1_000 * MILLI);
+            assertThat(mUser.mSent.getLast().grants()).hasSize(1);
+        }
+
         @Test
         void areLostWithTheirMessage() {
             connect();
