Derive peers, collectors and shares only when the fleet has changed

Cause: for each message about units or slots a daemon built a map of its recent peers and hashed the key with each of them, twice for each comparison, and after each transfer of units it updated its share of the quotas from all members. Each 0.6 s it divided all slots of all replicas among all daemons, and all rate limits.

Change: HeardPeers keeps recent peers and collectors until a peer joins, leaves or falls silent, FleetDivision the shares until their inputs change. The share of the quotas is updated after a transfer only if that changed the standing or the size of the fleet, and at each interval as before. What callers get is decided by the same values.

--- a/core/src/main/java/io/persimmonreel/core/placement/SlotShares.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/SlotShares.java
@@ -73,7 +73,7 @@
         return new SlotShares(own, divided);
     }
 
-    private static boolean isEnding(final Replica replica) {
+    static boolean isEnding(final Replica replica) {
         return replica.isWithdrawn() || replica.availability().isLeaving();
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerDigests.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerDigests.java
@@ -25,7 +25,7 @@
      * A peer whose digest is older than this is considered silent; several digests are missing by
      * then.
      */
-    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+    static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
     private static final int MICROS_PER_MILLI = 1_000;
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.membership.HeardPeers;
 import io.persimmonreel.core.membership.HubTopology;
 import io.persimmonreel.core.peer.Incarnation;
 import io.persimmonreel.core.peer.PeerMessage;
@@ -15,8 +16,8 @@
 import io.persimmonreel.core.peer.PeerMessage.ReplicaWork;
 import io.persimmonreel.core.peer.PeerMessage.SlotTransfer;
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
+import io.persimmonreel.core.placement.FleetDivision;
 import io.persimmonreel.core.placement.SlotShares;
-import io.persimmonreel.core.ratelimit.RateShares;
 import io.persimmonreel.core.retry.RetryBudget;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.core.time.TimerService;
@@ -81,6 +82,8 @@
     private final TimeSource mTime;
     private final EventLog mLog;
     private final Map<Incarnation, Peer> mPeers = new HashMap<>();
+    private final HeardPeers mHeardPeers = new HeardPeers(PeerDigests.SILENCE_NANOS);
+    private final FleetDivision mDivision;
     private final Map<String, Long> mLastHeardNanosByMember = new HashMap<>();
     private PeerTransport mTransport;
     private SlotGrants mSlotGrants;
@@ -107,6 +110,7 @@
             final TimeSource time,
             final EventLog log) {
         mSelector = new PeerSelector(settings.peerAddress(), settings.seeds());
+        mDivision = new FleetDivision(mSelector.name());
         mService = service;
         mPeerDigests = new PeerDigests(service.replicas());
         mDirectory = directory;
@@ -211,6 +215,7 @@
     public void onDisconnected(final PeerIdentity peer) {
         final Peer lost = mPeers.remove(peer.incarnation());
         mPeerDigests.forget(peer.incarnation());
+        mHeardPeers.forget(peer.incarnation());
         mQuotaPeers.onDisconnected(peer.incarnation());
         mLog.event("peer", "lost")
                 .put("peer", peer.incarnation().toString())
@@ -289,6 +294,7 @@
         peer.mAddress = digest.address();
         peer.mShuttingDown = digest.leaving();
         mPeerDigests.onDigest(from, digest, now);
+        mHeardPeers.onHeard(from, digest.address(), now);
         mService.configurationMonitor().onPeerVersion(digest.configVersion());
         recordMember(digest.address(), true, now);
         digest.members().forEach(address -> recordMember(address, false, now));
@@ -405,14 +411,7 @@
 
     /** Returns the peers with a recent digest, by their address. */
     Map<String, Incarnation> heardPeers(final long now) {
-        final Map<String, Incarnation> heard = new HashMap<>();
-        mPeers.forEach(
-                (incarnation, peer) -> {
-                    if (mPeerDigests.hasRecentDigest(incarnation, now)) {
-                        heard.put(peer.mAddress, incarnation);
-                    }
-                });
-        return heard;
+        return mHeardPeers.recent(now);
     }
 
     /**
@@ -420,8 +419,7 @@
      * daemon collects it itself or hears no collector.
      */
     Optional<Incarnation> collector(final String key) {
-        final Map<String, Incarnation> heard = heardPeers(mTime.monotonicNanos());
-        return mSelector.topology().collector(key, heard.keySet()).map(heard::get);
+        return mHeardPeers.collector(mSelector.topology(), key, mTime.monotonicNanos());
     }
 
     /** Returns whether this hub passes on to the collector what a peer sends: if it is a leaf. */
@@ -451,12 +449,11 @@
         mService.onShares(
                 mSelector.topology().isMesh()
                         ? SlotShares.UNDIVIDED
-                        : SlotShares.divide(
-                                mSelector.name(),
+                        : mDivision.slots(
                                 mLastHeardNanosByMember.keySet(),
                                 reportedSize,
                                 mService.replicas().byUpstream()),
-                RateShares.of(mSelector.name(), mLastHeardNanosByMember.keySet(), assumedSize),
+                mDivision.rates(mLastHeardNanosByMember.keySet(), assumedSize),
                 reportedSize);
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaPeers.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaPeers.java
@@ -94,8 +94,13 @@
 
     void onTransfer(final Incarnation from, final UnitTransfer transfer, final long nowNanos) {
         checkSuspended(nowNanos);
+        final Standing standing = mShare.standing();
+        final int size = mShare.size();
         mExchange.onTransfer(from, transfer, nowNanos);
-        updateShare(nowNanos);
+        // A hub gets many messages in an interval, at whose end the share is updated anyway.
+        if (mShare.standing() != standing || mShare.size() != size) {
+            updateShare(nowNanos);
+        }
         mExchange.flush(nowNanos);
     }
 
