Join the messages to a peer that are sent in the same event

A daemon sends a digest and a transfer of units to each partner at an interval, and several grants after a message. Each was a system call and often a wake-up of the recipient. The flush now happens at the end of the event, by the handler that the network library has for it. Pieces are still sent at once if 64 have been joined.

--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerTransport.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.persimmonreel.core.peer.Incarnation;
 import io.persimmonreel.core.peer.PeerMessage;
@@ -43,6 +44,7 @@
     private static final Logger LOG = System.getLogger(PeerTransport.class.getName());
     private static final int LENGTH_PREFIX_BYTES = 4;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int MAXIMUM_JOINED_FLUSHES = 64;
 
     /** Heartbeats arrive every 500 ms; a connection without data for this long is closed. */
     private static final Duration READ_IDLE_TIMEOUT = Duration.ofSeconds(10);
@@ -338,6 +340,8 @@
                 if (tls != null) {
                     pipeline.addLast(tls.handler(client, channel.alloc()));
                 }
+                // Messages to a peer in the same event share a system call and a packet.
+                pipeline.addLast(new FlushConsolidationHandler(MAXIMUM_JOINED_FLUSHES, true));
                 pipeline.addLast(
                         new IdleStateHandler(
                                 mReadIdleTimeout.toMillis(), 0, 0, TimeUnit.MILLISECONDS));
