Raise the protocol version for grants with several times of expiry

Daemons of the version before would connect, fail to decode the first transfer and close the connection, again and again. With another version the handshake refuses them with a reason, and operators are told to replace a fleet as a whole.

--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/Hello.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/Hello.java
@@ -12,7 +12,7 @@
  */
 record Hello(int protocol, String fleet, int slot, long incarnation, String zone, byte[] nonce) {
     /** The protocol version of this release. */
-    static final int PROTOCOL_VERSION = 3;
+    static final int PROTOCOL_VERSION = 4;
 
     /** The length of the nonce in bytes. */
     static final int NONCE_BYTES = 32;
