Wait for the extra bytes in the test that sends a request after them

Cause: a race in the test. The replica writes a response and then, in a second write, bytes that belong to no request. If the caller's next request is on the connection before they arrive, they are a response of unknown origin to it, and 502 is right.

--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayDaemonTest.java
@@ -112,6 +112,7 @@
                             })
                     .addScript(e -> respond(e, 200, "second"));
             assertThat(relay.request("GET", "/lookup/1", ATTEMPT_HEADER, "")).endsWith("first");
+            RelayFixture.await(() -> relay.log().contains("\"event\":\"unrequested-response\""));
             assertThat(relay.request("GET", "/lookup/2", NEXT_ATTEMPT_HEADER, ""))
                     .endsWith("second");
         }
