Find the counters of control cost once for each kind

They are now kept by message type, timer and upstream. QuotaUseLog still looks its counter up each time.

--- a/daemon/src/main/java/io/persimmonreel/daemon/cost/ControlCost.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/cost/ControlCost.java
@@ -3,7 +3,10 @@
 import io.persimmonreel.daemon.operator.MetricSet;
 import io.persimmonreel.daemon.peer.PeerTraffic;
 import io.persimmonreel.daemon.time.TimerObserver;
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Counts the messages between daemons and the time that messages and timers take, by their kind.
@@ -21,6 +24,20 @@
     private final Counter mTimerSeconds;
     private final Counter mTimerRuns;
 
+    // To find a counter by its labels costs more than to count, so it is done once for each kind.
+    private final Map<Class<?>, Traffic> mSent = new ConcurrentHashMap<>();
+    private final Map<Class<?>, Received> mReceived = new ConcurrentHashMap<>();
+    private final Map<String, Timer> mTimers = new ConcurrentHashMap<>();
+
+    /** Holds the counters of the messages of a type in one direction. */
+    private record Traffic(CounterDataPoint messages, CounterDataPoint bytes) {}
+
+    /** Holds the counters of the received messages of a type. */
+    private record Received(Traffic traffic, CounterDataPoint seconds) {}
+
+    /** Holds the counters of a timer. */
+    private record Timer(CounterDataPoint runs, CounterDataPoint seconds) {}
+
     /**
      * Registers the counters.
      *
@@ -55,20 +72,41 @@
 
     @Override
     public void onSent(final Class<?> type, final int bytes, final int recipients) {
-        mMessages.labelValues(type.getSimpleName(), SENT).inc(recipients);
-        mBytes.labelValues(type.getSimpleName(), SENT).inc((long) bytes * recipients);
+        final Traffic traffic = mSent.computeIfAbsent(type, key -> traffic(key, SENT));
+        traffic.messages().inc(recipients);
+        traffic.bytes().inc((long) bytes * recipients);
     }
 
     @Override
     public void onReceived(final Class<?> type, final int bytes, final long nanos) {
-        mMessages.labelValues(type.getSimpleName(), RECEIVED).inc();
-        mBytes.labelValues(type.getSimpleName(), RECEIVED).inc(bytes);
-        mMessageSeconds.labelValues(type.getSimpleName()).inc(nanos / NANOS_PER_SECOND);
+        final Received received =
+                mReceived.computeIfAbsent(
+                        type,
+                        key ->
+                                new Received(
+                                        traffic(key, RECEIVED),
+                                        mMessageSeconds.labelValues(key.getSimpleName())));
+        received.traffic().messages().inc();
+        received.traffic().bytes().inc(bytes);
+        received.seconds().inc(nanos / NANOS_PER_SECOND);
     }
 
     @Override
     public void onRun(final String timer, final long nanos) {
-        mTimerRuns.labelValues(timer).inc();
-        mTimerSeconds.labelValues(timer).inc(nanos / NANOS_PER_SECOND);
+        final Timer counters =
+                mTimers.computeIfAbsent(
+                        timer,
+                        name ->
+                                new Timer(
+                                        mTimerRuns.labelValues(name),
+                                        mTimerSeconds.labelValues(name)));
+        counters.runs().inc();
+        counters.seconds().inc(nanos / NANOS_PER_SECOND);
+    }
+
+    private Traffic traffic(final Class<?> type, final String direction) {
+        return new Traffic(
+                mMessages.labelValues(type.getSimpleName(), direction),
+                mBytes.labelValues(type.getSimpleName(), direction));
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -2,9 +2,12 @@
 
 import io.persimmonreel.core.placement.CachedPrompt;
 import io.persimmonreel.daemon.operator.MetricSet;
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -113,6 +116,7 @@
                     "persimmonreel_relay_placement_pass_seconds_total",
                     "Time that passes took on the event loop",
                     "upstream");
+    private final Map<String, PassCounters> mPassCounters = new ConcurrentHashMap<>();
     private final Histogram mQueueTime =
             histogram(
                     "persimmonreel_relay_queue_seconds",
@@ -125,6 +129,10 @@
             histogram(
                     "persimmonreel_relay_request_seconds", "Time from arrival to the whole answer");
 
+    /** Holds the counters of the passes of an upstream. */
+    private record PassCounters(
+            CounterDataPoint passes, CounterDataPoint requests, CounterDataPoint seconds) {}
+
     void onEnded(final String upstream, final int rank, final String outcome) {
         mRequests.labelValues(upstream, String.valueOf(rank), outcome).inc();
     }
@@ -186,9 +194,17 @@
     }
 
     void onPass(final String upstream, final int requests, final long nanos) {
-        mPasses.labelValues(upstream).inc();
-        mPassRequests.labelValues(upstream).inc(requests);
-        mPassTime.labelValues(upstream).inc(nanos / NANOS_PER_SECOND);
+        final PassCounters counters =
+                mPassCounters.computeIfAbsent(
+                        upstream,
+                        name ->
+                                new PassCounters(
+                                        mPasses.labelValues(name),
+                                        mPassRequests.labelValues(name),
+                                        mPassTime.labelValues(name)));
+        counters.passes().inc();
+        counters.requests().inc(requests);
+        counters.seconds().inc(nanos / NANOS_PER_SECOND);
     }
 
     void onSent(final String upstream, final int rank, final long nanos) {
