Move parts out of daemon.relay that know nothing of relayed requests

EventSplitter, EventTooLongException and KeepAliveHeader are in daemon.http, the times of a shutdown in core.admission, the records of rate limits and of crashes beside the other parts of messages in core.peer. ResendRules takes the decision on resends out of RelayService, and Dispatch reports the time of a first event as it reports the service time.

--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -406,22 +406,6 @@
      */
     record RateLimitNotice(List<RateLimitState> limits) implements PeerMessage {}
 
-    /**
-     * Describes the rate limit of one start of a replica.
-     *
-     * @param replica the replica's id
-     * @param startedMillis when it started, milliseconds since the Unix epoch, 0 if unknown
-     * @param limited whether it states a limit; false if a response stated none
-     * @param perSecond the last limit in requests per second from all daemons together
-     * @param ageMillis the time since that response, in milliseconds
-     */
-    record RateLimitState(
-            String replica,
-            long startedMillis,
-            boolean limited,
-            double perSecond,
-            long ageMillis) {}
-
     /**
      * Lists the daemons that a hub knows, for a leaf that hears only of some.
      *
@@ -436,15 +420,6 @@
      */
     record ReplicaCrashNotice(List<ReplicaCrash> crashes) implements PeerMessage {}
 
-    /**
-     * Describes the crash of one start of a replica.
-     *
-     * @param replica the replica's id
-     * @param startedMillis when it started, milliseconds since the Unix epoch, 0 if unknown
-     * @param ageMillis the time since the last sign of the crash, in milliseconds
-     */
-    record ReplicaCrash(String replica, long startedMillis, long ageMillis) {}
-
     /**
      * Asks a peer for the documents of the directory.
      *
--- a/core/src/test/java/io/persimmonreel/core/quota/ColdReplicaDaemonModel.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/ColdReplicaDaemonModel.java
@@ -2,9 +2,9 @@
 
 import io.persimmonreel.core.peer.Incarnation;
 import io.persimmonreel.core.peer.PeerMessage.MemberNames;
-import io.persimmonreel.core.peer.PeerMessage.ReplicaCrash;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaCrashNotice;
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
+import io.persimmonreel.core.peer.ReplicaCrash;
 import io.persimmonreel.core.quota.QuotaFleet.Request;
 import io.persimmonreel.core.replica.ReplicaEntry;
 import io.persimmonreel.core.warmup.ColdReplicas;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/EventSplitter.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/http/EventSplitter.java
@@ -1,4 +1,4 @@
-package io.persimmonreel.daemon.relay;
+package io.persimmonreel.daemon.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -8,7 +8,7 @@
  * Splits a stream of Server-Sent Events into complete events, so that a stream that breaks inside
  * an event can be resumed after the last complete one. Not thread safe.
  */
-final class EventSplitter {
+public final class EventSplitter {
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     /**
@@ -29,18 +29,21 @@
      *
      * @param lastId the id of the last event that was forwarded, null for a new stream
      */
-    EventSplitter(final String lastId) {
+    public EventSplitter(final String lastId) {
         mLastId = lastId;
     }
 
     /**
      * Prepares for the stream of another replica, which continues after the last complete event.
+     *
+     * @return the id of that event, null for a stream from the start
      */
-    void restart() {
+    public String restart() {
         mPending.clear();
         mLineStart = 0;
         mSearchFrom = 0;
         mSkipThrough = mLastId;
+        return mLastId;
     }
 
     /**
@@ -50,7 +53,7 @@
      * @return complete events, or an empty buffer
      * @throws EventTooLongException if an event is too long
      */
-    ByteBuf split(final ByteBuf bytes) throws EventTooLongException {
+    public ByteBuf split(final ByteBuf bytes) throws EventTooLongException {
         if (mPending.readableBytes() + bytes.readableBytes() > MAXIMUM_EVENT_BYTES) {
             throw new EventTooLongException("an event exceeds " + MAXIMUM_EVENT_BYTES + " bytes");
         }
@@ -79,21 +82,30 @@
         return completeEvents;
     }
 
-    /** Returns whether bytes of an incomplete event are buffered. */
-    boolean hasPartialEvent() {
+    /**
+     * Returns whether bytes of an incomplete event are buffered.
+     *
+     * @return true inside an event
+     */
+    public boolean hasPartialEvent() {
         return mPending.isReadable();
     }
 
     /**
-     * Returns the id of the last complete event, the id given at creation if there was none yet, or
-     * null.
+     * Returns the id of the last complete event.
+     *
+     * @return the id, the one given at creation if there was no event yet, or null
      */
-    String lastId() {
+    public String lastId() {
         return mLastId;
     }
 
-    /** Returns the number of complete events with a field, without repeated ones. */
-    int eventCount() {
+    /**
+     * Returns the number of complete events with a field, without repeated ones.
+     *
+     * @return the events
+     */
+    public int eventCount() {
         return mEventCount;
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/EventTooLongException.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/http/EventTooLongException.java
@@ -1,7 +1,7 @@
-package io.persimmonreel.daemon.relay;
+package io.persimmonreel.daemon.http;
 
 /** Signals that an event in the stream of a replica exceeds the size limit. */
-final class EventTooLongException extends Exception {
+public final class EventTooLongException extends Exception {
     private static final long serialVersionUID = 1L;
 
     EventTooLongException(final String message) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/KeepAliveHeader.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/http/KeepAliveHeader.java
@@ -1,10 +1,10 @@
-package io.persimmonreel.daemon.relay;
+package io.persimmonreel.daemon.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 
 /** Reads from the Keep-Alive response header how long a connection to a replica may stay idle. */
-final class KeepAliveHeader {
+public final class KeepAliveHeader {
     private static final String HEADER = "Keep-Alive";
     private static final String TIMEOUT = "timeout=";
 
@@ -22,7 +22,13 @@
 
     private KeepAliveHeader() {}
 
-    static long idleLimitNanos(final HttpHeaders headers) {
+    /**
+     * Returns how long a connection may stay idle after a response.
+     *
+     * @param headers the header fields of the response
+     * @return the time in nanoseconds
+     */
+    public static long idleLimitNanos(final HttpHeaders headers) {
         final String value = headers.get(HEADER);
         final int start = value == null ? -1 : value.indexOf(TIMEOUT);
         if (start < 0) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -9,6 +9,8 @@
 import io.persimmonreel.core.explain.DecisionRecord;
 import io.persimmonreel.core.peer.DirectoryVersion;
 import io.persimmonreel.core.peer.PeerMessage;
+import io.persimmonreel.core.peer.RateLimitState;
+import io.persimmonreel.core.peer.ReplicaCrash;
 import io.persimmonreel.core.peer.SlotClaim;
 import io.persimmonreel.core.peer.SlotGrant;
 import io.persimmonreel.core.peer.SlotRelease;
@@ -70,8 +72,8 @@
                     PeerMessage.MemberNews.class,
                     PeerMessage.ReplicaWork.class,
                     PeerMessage.PartState.class,
-                    PeerMessage.RateLimitState.class,
-                    PeerMessage.ReplicaCrash.class,
+                    RateLimitState.class,
+                    ReplicaCrash.class,
                     PeerMessage.UnitClaim.class,
                     PeerMessage.UnitGrant.class,
                     PeerMessage.UnitShortage.class,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ColdReplicaLimits.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ColdReplicaLimits.java
@@ -1,8 +1,8 @@
 package io.persimmonreel.daemon.relay;
 
 import io.persimmonreel.core.peer.PeerMessage;
-import io.persimmonreel.core.peer.PeerMessage.ReplicaCrash;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaCrashNotice;
+import io.persimmonreel.core.peer.ReplicaCrash;
 import io.persimmonreel.core.quota.FleetShare;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaEntry;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Dispatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Dispatch.java
@@ -9,6 +9,13 @@
  */
 final class Dispatch {
     private static final double NANOS_PER_MILLI = 1e6;
+    private static final double MICROS_PER_MILLI = 1e3;
+
+    /**
+     * The minimum prompt size for measuring the prefill speed; the time of shorter prompts is
+     * mostly fixed cost.
+     */
+    private static final int LONG_PROMPT_TOKENS = 1_500;
 
     private final Choice mChoice;
     private final long mSentNanos;
@@ -97,6 +104,20 @@
         return first;
     }
 
+    /**
+     * Reports the time to the first event to the replica, and the prefill speed if nothing else
+     * took a large part of that time.
+     */
+    void recordFirstEvent() {
+        final int prefill = mChoice.prefillTokens();
+        replica().onPredictionError(firstEventMillis() - mChoice.firstMillis());
+        if (mChoice.waitMillis() <= 0
+                && prefill >= LONG_PROMPT_TOKENS
+                && !mChoice.cached().isExpected()) {
+            replica().onPrefillTime(firstEventMillis() * MICROS_PER_MILLI / prefill);
+        }
+    }
+
     /**
      * Reports the service time of a complete response to the replica, measured from the first event
      * if there was one.
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -8,6 +8,9 @@
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.retry.ExecutionRecord;
+import io.persimmonreel.core.route.ResendRule;
+import io.persimmonreel.daemon.http.EventSplitter;
+import io.persimmonreel.daemon.http.EventTooLongException;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -110,7 +113,6 @@
         return mCountedDispatches;
     }
 
-    /** Returns whether a replica may have run the request. */
     boolean mayHaveRun() {
         return mExecution.mayHaveRun();
     }
@@ -177,11 +179,8 @@
             return;
         }
         mCallerResponse.onCallerGone();
-        final boolean continuesWithoutCaller =
-                !mTask.route().resendRule().allowsResend()
-                        && !mTask.route().resendRule().isStream()
-                        && isAtReplica();
-        if (!continuesWithoutCaller) {
+        final ResendRule rule = mTask.route().resendRule();
+        if (rule.allowsResend() || rule.isStream() || !isAtReplica()) {
             mService.onCancelled(this);
             end();
         }
@@ -308,12 +307,7 @@
         mConnection = connection;
         mCountedDispatches++;
         final String resumeAfter =
-                mSplitter != null && mSplitter.lastId() != null
-                        ? mSplitter.lastId()
-                        : mRequest.callerHeaders().resumeAfter();
-        if (mSplitter != null) {
-            mSplitter.restart();
-        }
+                mSplitter == null ? mRequest.callerHeaders().resumeAfter() : mSplitter.restart();
         connection.send(
                 mTask.id(),
                 mService.requestBuilder().build(this, resumeAfter, mService.nowNanos()),
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.persimmonreel.core.admission.ShutdownTimes;
 import io.persimmonreel.core.peer.Incarnation;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.quota.QuotaLife;
@@ -408,7 +409,7 @@
         mShutdownNanos = mTime.monotonicNanos();
         mLog.event("daemon", "leaving").put("active", mService.active()).write();
         mService.beginShutdown(
-                new RelayScheduler.Shutdown(
+                new ShutdownTimes(
                         mShutdownNanos + SHUTDOWN_LINGER.toNanos(),
                         mShutdownNanos + requestGraceNanos()));
         mServer.beginShutdown();
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -9,6 +9,7 @@
 import io.persimmonreel.core.admission.ReturnSchedule;
 import io.persimmonreel.core.admission.RunForecast;
 import io.persimmonreel.core.admission.ShutdownAdmission;
+import io.persimmonreel.core.admission.ShutdownTimes;
 import io.persimmonreel.core.admission.SpareCapacity;
 import io.persimmonreel.core.admission.TimeLeft;
 import io.persimmonreel.core.grant.SlotAnswer;
@@ -64,15 +65,7 @@
     private SlotShares mShares = SlotShares.UNDIVIDED;
     private int mDaemons = 1;
     private SlotGate mSlotGate = SlotGate.NONE;
-    private Shutdown mShutdown;
-
-    /**
-     * Holds the times of a shutdown, as monotonic time in nanoseconds.
-     *
-     * @param balancersReactedNanos when load balancers direct callers to other daemons
-     * @param processEndNanos when the process ends
-     */
-    record Shutdown(long balancersReactedNanos, long processEndNanos) {}
+    private ShutdownTimes mShutdown;
 
     RelayScheduler(
             final RelayService service,
@@ -93,7 +86,7 @@
     }
 
     /** Accepts from now on only requests that can be served before the process ends. */
-    void beginShutdown(final Shutdown shutdown) {
+    void beginShutdown(final ShutdownTimes shutdown) {
         mShutdown = shutdown;
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -1,6 +1,7 @@
 package io.persimmonreel.daemon.relay;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.persimmonreel.core.admission.ShutdownTimes;
 import io.persimmonreel.core.placement.SlotShares;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.ratelimit.RateShares;
@@ -15,7 +16,6 @@
 import io.persimmonreel.daemon.directory.DirectoryListener;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -35,15 +35,6 @@
     /** The Retry-After time for callers whose requests arrive before the first configuration. */
     private static final long NO_CONFIGURATION_RETRY_AFTER_MILLIS = 300;
 
-    /**
-     * The minimum prompt size for measuring the prefill speed; the time of shorter prompts is
-     * mostly fixed cost.
-     */
-    private static final int LONG_PROMPT_TOKENS = 1_500;
-
-    /** The minimum remaining time for a resend; with less the response can't arrive in time. */
-    private static final double MINIMUM_RESEND_MILLIS = 60;
-
     private final TimeSource mTime;
     private final RelayLog mLog;
     private final ErrorResponder mErrorResponder;
@@ -53,6 +44,7 @@
     private final StallRule mStallRule = new StallRule();
     private final FleetQuota mQuota;
     private final RetryBudget mBudget;
+    private final ResendRules mResendRules;
     private final ContentQuarantine mQuarantine;
     private final ConfigurationMonitor mConfigurationMonitor = new ConfigurationMonitor();
     private final OutputLengthEstimator mOutputLengths = new OutputLengthEstimator();
@@ -84,6 +76,7 @@
         mConnections = connections;
         mQuarantine = new ContentQuarantine(log, seed + 2);
         mBudget = budget;
+        mResendRules = new ResendRules(mReplicas, budget);
         mQuota = quota;
         mQuotaGate = new QuotaGate(quota, time, eventLoop, log.quotaUse(), this::hasRoom, this);
         mResolver = new RequestResolver(mOutputLengths, seed);
@@ -309,7 +302,7 @@
     }
 
     /** Accepts from now on only requests that can be served before the process ends. */
-    void beginShutdown(final RelayScheduler.Shutdown shutdown) {
+    void beginShutdown(final ShutdownTimes shutdown) {
         mScheduler.beginShutdown(shutdown);
     }
 
@@ -337,11 +330,7 @@
      * retry budget.
      */
     boolean tryReserveResend(final RelayCall call, final boolean notRun) {
-        return call.countedDispatches() < call.task().route().maximumAttempts()
-                && (notRun || call.task().route().resendRule().allowsResend())
-                && call.task().millisLeft(nowNanos()) > MINIMUM_RESEND_MILLIS
-                && hasOtherReplica(call)
-                && mBudget.take(call.task().upstream());
+        return mResendRules.tryReserve(call, notRun, nowNanos());
     }
 
     /** Queues a request for another replica, once its customer's quota allows it. */
@@ -352,18 +341,10 @@
 
     void onFirstEvent(final RelayCall call) {
         final long now = nowNanos();
-        final Dispatch dispatch = call.dispatch();
-        final int prefill = dispatch.choice().prefillTokens();
         mScheduler.onPrefillDone(call);
         mQuarantine.onBegun(call, now);
         mLog.firstEvent(call, now);
-        dispatch.replica()
-                .onPredictionError(dispatch.firstEventMillis() - dispatch.choice().firstMillis());
-        if (dispatch.choice().waitMillis() <= 0
-                && prefill >= LONG_PROMPT_TOKENS
-                && !dispatch.choice().cached().isExpected()) {
-            dispatch.replica().onPrefillTime(dispatch.firstEventMillis() * 1_000.0 / prefill);
-        }
+        call.dispatch().recordFirstEvent();
     }
 
     void onSucceeded(final RelayCall call, final HttpResponseStatus status, final int events) {
@@ -483,15 +464,6 @@
         }
     }
 
-    private boolean hasOtherReplica(final RelayCall call) {
-        final long now = nowNanos();
-        final double millisLeft = call.task().millisLeft(now) - MINIMUM_RESEND_MILLIS;
-        final Set<String> used = new HashSet<>(call.excludedReplicas());
-        used.add(call.replica().entry().id());
-        return mReplicas.ofUpstream(call.task().upstream()).stream()
-                .anyMatch(r -> r.waitMillis(now) < millisLeft && !used.contains(r.entry().id()));
-    }
-
     /** Returns the properties of an upstream's engines, those of unknown ones for others. */
     EngineProfile engine(final String upstream) {
         final RelayConfiguration configuration = mConfiguration;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaRateLimits.java
@@ -3,7 +3,7 @@
 import io.persimmonreel.core.admission.RateLimitedWait;
 import io.persimmonreel.core.peer.PeerMessage;
 import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
-import io.persimmonreel.core.peer.PeerMessage.RateLimitState;
+import io.persimmonreel.core.peer.RateLimitState;
 import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import io.persimmonreel.core.ratelimit.RateLimitStatement;
 import io.persimmonreel.core.ratelimit.RateShares;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/UpstreamConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.daemon.http.KeepAliveHeader;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/EventSplitterTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/http/EventSplitterTest.java
@@ -1,4 +1,4 @@
-package io.persimmonreel.daemon.relay;
+package io.persimmonreel.daemon.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ColdReplicaLimitsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ColdReplicaLimitsTest.java
@@ -4,8 +4,8 @@
 import static io.persimmonreel.daemon.relay.ReplicaScripts.respond;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.persimmonreel.core.peer.PeerMessage.ReplicaCrash;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaCrashNotice;
+import io.persimmonreel.core.peer.ReplicaCrash;
 import io.persimmonreel.core.route.RelayUpstream;
 import io.persimmonreel.core.route.WarmUp;
 import io.persimmonreel.core.warmup.WarmUpBound;
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaRateLimitTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/ReplicaRateLimitTest.java
@@ -5,7 +5,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.persimmonreel.core.peer.PeerMessage.RateLimitNotice;
-import io.persimmonreel.core.peer.PeerMessage.RateLimitState;
+import io.persimmonreel.core.peer.RateLimitState;
 import io.persimmonreel.daemon.upstream.ScriptedUpstream;
 import io.persimmonreel.daemon.upstream.ScriptedUpstream.Exchange;
 import java.io.IOException;
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualRelay.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
+import io.persimmonreel.core.admission.ShutdownTimes;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.quota.QuotaLife;
 import io.persimmonreel.core.quota.QuotaTolerance;
@@ -206,7 +207,7 @@
         if (!mServer.isShuttingDown()) {
             mAbortMillis = mNowMillis + 3_000;
             mService.beginShutdown(
-                    new RelayScheduler.Shutdown(
+                    new ShutdownTimes(
                             monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(500),
                             TimeUnit.MILLISECONDS.toNanos(mAbortMillis)));
             mServer.beginShutdown();
