--- a/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
+++ b/core/src/main/java/io/persimmonreel/core/peer/PeerMessage.java
@@ -462,4 +462,13 @@
             List<SlotUse> uses,
             List<SlotGrant> grants)
             implements PeerMessage {}
+
+    /**
+     * Reports where streams began, and asks for it.
+     *
+     * @param origins the software versions at which streams began
+     * @param questions the streams whose version the sender does not know
+     */
+    record StreamTransfer(List<StreamOrigin> origins, List<StreamQuestion> questions)
+            implements PeerMessage {}
 }
--- a/core/src/main/java/io/persimmonreel/core/replica/ReplicaEntry.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/ReplicaEntry.java
@@ -13,6 +13,7 @@
  * @param startedMillis when it started, milliseconds since the Unix epoch, 0 if unknown
  * @param warmUpLeftMillis how long it stays cold from the time at which it announced this, in
  *     milliseconds, 0 if it is warm
+ * @param version the version of its software, empty if it announces none
  */
 public record ReplicaEntry(
         String id,
@@ -23,7 +24,8 @@
         int slots,
         boolean draining,
         long startedMillis,
-        double warmUpLeftMillis) {
+        double warmUpLeftMillis,
+        String version) {
     /**
      * Creates the entry of a warm replica.
      *
@@ -45,7 +47,26 @@
             final int slots,
             final boolean draining,
             final long startedMillis) {
-        this(id, upstream, host, port, zone, slots, draining, startedMillis, 0);
+        this(id, upstream, host, port, zone, slots, draining, startedMillis, 0, "");
+    }
+
+    /**
+     * Returns this entry as that of a replica that accepts no new requests.
+     *
+     * @return the same attributes, draining
+     */
+    public ReplicaEntry asDraining() {
+        return new ReplicaEntry(
+                id,
+                upstream,
+                host,
+                port,
+                zone,
+                slots,
+                true,
+                startedMillis,
+                warmUpLeftMillis,
+                version);
     }
 
     /**
--- a/core/src/main/java/io/persimmonreel/core/replica/ReplicaRegistry.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/ReplicaRegistry.java
@@ -105,6 +105,20 @@
         return mSnapshot.byUpstream().getOrDefault(upstream, List.of());
     }
 
+    /**
+     * Returns the replicas of an upstream that a request may run at.
+     *
+     * @param upstream the upstream's name
+     * @param binding the software version to which the request is bound
+     * @return the replicas, draining and evacuated ones included
+     */
+    public List<Replica> candidates(final String upstream, final VersionBinding binding) {
+        final List<Replica> replicas = ofUpstream(upstream);
+        return binding.version().isPresent()
+                ? replicas.stream().filter(replica -> binding.admits(replica.entry())).toList()
+                : replicas;
+    }
+
     /**
      * Returns the replicas of each upstream.
      *
@@ -155,9 +169,9 @@
     }
 
     /** Identifies one start of a replica. */
-    private record Start(String id, long startedMillis, String address) {
+    private record Start(String id, long startedMillis, String address, String version) {
         static Start of(final ReplicaEntry entry) {
-            return new Start(entry.id(), entry.startedMillis(), entry.address());
+            return new Start(entry.id(), entry.startedMillis(), entry.address(), entry.version());
         }
 
         /** Returns whether a later start can be told from this one. */
--- a/core/src/test/java/io/persimmonreel/core/placement/FleetDivisionTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/FleetDivisionTest.java
@@ -28,7 +28,8 @@
     }
 
     private static ReplicaEntry entry(final String id, final int slots) {
-        return new ReplicaEntry(id, UPSTREAM, "10.0.0.1", 80, "zone-of-" + id, slots, false, 0, 0);
+        return new ReplicaEntry(
+                id, UPSTREAM, "10.0.0.1", 80, "zone-of-" + id, slots, false, 0, 0, "");
     }
 
     @Nested
--- a/core/src/test/java/io/persimmonreel/core/quota/ColdReplicaDaemonModel.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/ColdReplicaDaemonModel.java
@@ -73,7 +73,8 @@
                             8,
                             false,
                             startedMillis,
-                            warmUpMillis));
+                            warmUpMillis,
+                            ""));
         }
         mReplicas.onEntries(entries, nowNanos);
     }
--- a/core/src/test/java/io/persimmonreel/core/warmup/ColdReplicasTest.java
+++ b/core/src/test/java/io/persimmonreel/core/warmup/ColdReplicasTest.java
@@ -24,7 +24,7 @@
 
     private static ReplicaEntry entry(final long startedMillis, final double leftMillis) {
         return new ReplicaEntry(
-                ID, "model", "10.0.0.1", 80, "zone", 8, false, startedMillis, leftMillis);
+                ID, "model", "10.0.0.1", 80, "zone", 8, false, startedMillis, leftMillis, "");
     }
 
     private void limit() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryFormat.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryFormat.java
@@ -54,6 +54,16 @@
      */
     ReplicaEntry readReplica(String name, byte[] content) throws DirectoryException;
 
+    /**
+     * Returns the id of the replica that a document describes.
+     *
+     * @param name the document's name
+     * @return the part of the name after the last slash
+     */
+    default String replicaId(final String name) {
+        return name.substring(name.lastIndexOf('/') + 1);
+    }
+
     /**
      * Reads the number of a write of a replica's entry, which rises with each write in one start of
      * the replica.
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectorySource.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectorySource.java
@@ -8,7 +8,8 @@
  * Reads and watches the directory, which holds the configuration and the replica entries as
  * documents.
  *
- * <p>Methods return at once; listeners are called on the event loop. At most one call may be in
+ * <p>Methods return at once; listeners are called on the event loop. At most one call of {@link
+ * #readAll} and {@link #watch}, and one of {@link #readVersion} and {@link #readHistory}, may be in
  * progress.
  */
 public interface DirectorySource {
@@ -29,6 +30,21 @@
      */
     void watch(long afterRevision, long waitMillis, Listener listener);
 
+    /**
+     * Reads the version that the directory has now.
+     *
+     * @param listener receives the version without documents
+     */
+    void readVersion(Listener listener);
+
+    /**
+     * Reads the changes before a revision that the directory still has.
+     *
+     * @param revision the revision
+     * @param listener receives the changes, the eldest first
+     */
+    void readHistory(long revision, Listener listener);
+
     /**
      * Holds one document.
      *
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -46,6 +46,7 @@
     private final List<RestoreListener> mRestoreListeners = new ArrayList<>();
     private final DirectoryEras mEras = new DirectoryEras();
     private final ConfigurationInForce mConfiguration;
+    private DirectoryObserver mObserver = DirectoryObserver.NONE;
 
     /**
      * Describes documents that are applied together.
@@ -84,6 +85,15 @@
         mRestoreListeners.add(listener);
     }
 
+    /**
+     * Sets the observer.
+     *
+     * @param observer is told of all entries and of the state
+     */
+    public void observe(final DirectoryObserver observer) {
+        mObserver = observer;
+    }
+
     /**
      * Sets the receiver of events to count.
      *
@@ -102,6 +112,28 @@
         return mEras.version();
     }
 
+    /**
+     * Notes that all changes that the directory had at a time are applied.
+     *
+     * @param nanos the monotonic time in nanoseconds
+     * @param wallMillis the same time by the wall clock, in milliseconds
+     */
+    void onCurrent(final long nanos, final long wallMillis) {
+        mObserver.onCurrent(nanos, wallMillis);
+    }
+
+    /** Reports the replicas in changes that were made before the first documents were read. */
+    void onHistory(
+            final List<Document> changes,
+            final DirectoryRetention retention,
+            final long nowNanos,
+            final long nowWallMillis) {
+        mObserver.onHistory(
+                new DirectoryHistory(mFormat, retention.writeInterval())
+                        .replicas(changes, nowWallMillis),
+                nowNanos - retention.time().toNanos());
+    }
+
     /**
      * Notes the era of a response of the directory. Documents of older eras are ignored from then
      * on, also if the documents of this era can't be read yet.
@@ -227,6 +259,7 @@
         if (isOutdated(version)) {
             return;
         }
+        mObserver.onSnapshot();
         final DirectoryVersion before = version();
         final boolean restored = mEras.isRestore(version);
         final boolean beginsEra = restored || !mEras.hasDocuments();
@@ -396,6 +429,7 @@
             final ReplicaEntry entry = inForce(name, content, origin);
             mContents.put(name, content);
             final ReplicaEntry previous = mReplicas.put(name, entry);
+            mObserver.onEntry(entry);
             if (entry.equals(previous)) {
                 return false;
             }
@@ -456,6 +490,7 @@
                 .put("replica", entry.id())
                 .put("upstream", entry.upstream())
                 .put("address", entry.address())
+                .put("version", entry.version())
                 .put("draining", entry.draining())
                 .put("revision", version().revision())
                 .write();
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryWatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryWatch.java
@@ -8,7 +8,9 @@
 import io.persimmonreel.daemon.log.EventLog;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.LongConsumer;
 
 /**
  * Keeps the state up to date with the directory: reads all documents, then watches for changes, and
@@ -22,6 +24,9 @@
     /** The time after an outage during which entries of live replicas may be missing. */
     private static final long RECOVERY_NANOS = Duration.ofMillis(2_200).toNanos();
 
+    /** The time between two reads of the version. */
+    private static final Duration CONFIRMATION_PAUSE = Duration.ofMillis(20);
+
     private static final Duration ABSENCE_CHECK_INTERVAL = Duration.ofMillis(200);
 
     private final DirectorySource mSource;
@@ -32,6 +37,11 @@
     private final DirectoryTimings mTimings;
     private final SplittableRandom mRandom;
     private Duration mRetryDelay;
+    private final DirectoryConfirmations mConfirmations = new DirectoryConfirmations();
+    private TimerService.Subscription mNextCall;
+    private Optional<DirectoryRetention> mHistory = Optional.empty();
+    private long mCalledNanos;
+    private long mCalledWallMillis;
     private boolean mLoaded;
     private boolean mUnreachable;
     private long mLastResponseNanos;
@@ -66,12 +76,33 @@
         mRandom = new SplittableRandom(seed);
     }
 
+    /**
+     * Calls a listener once all changes are applied that the directory has now. The version is read
+     * beside the call that waits for changes, which may wait for long.
+     *
+     * @param listener receives the monotonic time in nanoseconds; it is not called if the directory
+     *     does not respond
+     */
+    public void confirm(final LongConsumer listener) {
+        mConfirmations.add(listener);
+        readVersionIfDue();
+    }
+
+    /**
+     * Reads the changes before the start once the first documents are applied.
+     *
+     * @param retention what the directory keeps
+     */
+    public void readHistory(final DirectoryRetention retention) {
+        mHistory = Optional.of(retention);
+    }
+
     /** Starts to read and watch the directory. */
     public void start() {
         mLastResponseNanos = mTime.monotonicNanos();
         mOutageEndNanos = mLastResponseNanos;
         mTimers.every("directory-absence", ABSENCE_CHECK_INTERVAL, mState::removeAbsentReplicas);
-        mSource.readAll(new SnapshotListener());
+        callDirectory();
     }
 
     /**
@@ -107,10 +138,13 @@
     }
 
     private void scheduleCall(final Duration delay) {
-        mTimers.after("directory", delay, now -> callDirectory());
+        mNextCall = mTimers.after("directory", delay, now -> callDirectory());
     }
 
     private void callDirectory() {
+        mNextCall = null;
+        mCalledNanos = mTime.monotonicNanos();
+        mCalledWallMillis = mTime.wallMillis();
         if (mLoaded) {
             final DirectoryVersion after = mState.version();
             mSource.watch(
@@ -163,6 +197,41 @@
                 Duration.ofMillis(Math.min(mTimings.maximumRetryDelay().toMillis(), 2 * millis));
     }
 
+    /**
+     * Reports up to when all changes are known, and makes the next call.
+     *
+     * @param unchangedMillis how long the directory waited without a change, in milliseconds
+     */
+    private void onApplied(final long unchangedMillis) {
+        final long elapsedNanos = mTime.monotonicNanos() - mCalledNanos;
+        mState.onCurrent(
+                mCalledNanos + Math.min(elapsedNanos, Duration.ofMillis(unchangedMillis).toNanos()),
+                mCalledWallMillis + unchangedMillis);
+        scheduleCall(mTimings.pause());
+        settleConfirmations();
+        readVersionIfDue();
+    }
+
+    private void readVersionIfDue() {
+        if (mHistory.isPresent()) {
+            if (mLoaded && mConfirmations.tryRead()) {
+                mSource.readHistory(mState.version().revision(), new HistoryListener());
+            }
+        } else if (mConfirmations.isReadDue() && mConfirmations.tryRead()) {
+            mSource.readVersion(new VersionListener());
+        }
+    }
+
+    /** Makes the next call at once if a version is awaited that is not applied yet. */
+    private void settleConfirmations() {
+        final boolean isSettled =
+                mConfirmations.onApplied(mState.version(), mTime.monotonicNanos());
+        if (!isSettled && mNextCall != null && !mUnreachable) {
+            mNextCall.close();
+            scheduleCall(Duration.ZERO);
+        }
+    }
+
     private boolean isAfterOutage() {
         return mTime.monotonicNanos() - mOutageEndNanos < RECOVERY_NANOS;
     }
@@ -176,7 +245,7 @@
             }
             mState.applySnapshot(version, documents, isAfterOutage(), mTime.monotonicNanos());
             mLoaded = true;
-            scheduleCall(mTimings.pause());
+            onApplied(0);
         }
 
         @Override
@@ -209,7 +278,7 @@
             }
             if (version.era() == mEra) {
                 mState.applyChanges(version, documents);
-                scheduleCall(mTimings.pause());
+                onApplied(documents.isEmpty() ? mTimings.watchWait().toMillis() : 0);
             } else {
                 readAgain("era-changed", version.era());
             }
@@ -242,4 +311,69 @@
             onUnreachable(reason);
         }
     }
+
+    /** Receives the version that confirms what is applied. */
+    private final class VersionListener implements DirectorySource.Listener {
+        @Override
+        public void onDocuments(final DirectoryVersion version, final List<Document> documents) {
+            if (mState.isOlderEra(version.era())) {
+                onFailure("the era is older than the newest known one");
+                return;
+            }
+            mConfirmations.onVersion(version);
+            settleConfirmations();
+            readAgainLater();
+        }
+
+        @Override
+        public void onHistoryLost(final long era) {
+            onFailure("the directory has lost its history");
+        }
+
+        @Override
+        public void onFailure(final String reason) {
+            mConfirmations.onFailure();
+            readAgainLater();
+        }
+
+        private void readAgainLater() {
+            mTimers.after("directory-version", CONFIRMATION_PAUSE, now -> readVersionIfDue());
+        }
+    }
+
+    /**
+     * Receives the changes before the start. A failed read is repeated after the next response of
+     * the directory; confirmations wait for it.
+     */
+    private final class HistoryListener implements DirectorySource.Listener {
+        private final long mEra = mState.version().era();
+
+        @Override
+        public void onDocuments(final DirectoryVersion version, final List<Document> documents) {
+            if (version.era() != mEra) {
+                onFailure("the directory was restored");
+                return;
+            }
+            final DirectoryRetention retention = mHistory.orElseThrow();
+            mHistory = Optional.empty();
+            mConfirmations.onFailure();
+            mLog.event("directory", "history")
+                    .put("after", version.revision())
+                    .put("revision", mState.version().revision())
+                    .put("changes", documents.size())
+                    .write();
+            mState.onHistory(documents, retention, mTime.monotonicNanos(), mTime.wallMillis());
+            readVersionIfDue();
+        }
+
+        @Override
+        public void onHistoryLost(final long era) {
+            onFailure("the directory has lost its history");
+        }
+
+        @Override
+        public void onFailure(final String reason) {
+            mConfirmations.onFailure();
+        }
+    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/RestoredReplicas.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/RestoredReplicas.java
@@ -102,7 +102,7 @@
         if (withdrawn != null) {
             if (compare(name, restored.content(), withdrawn) <= 0) {
                 mHeld.put(name, withdrawn);
-                return draining(restored.entry());
+                return restored.entry().asDraining();
             }
         } else if (last != null && !Arrays.equals(last, restored.content())) {
             final int order = compare(name, restored.content(), last);
@@ -115,7 +115,7 @@
         if (unconfirmed) {
             mWithdrawn.put(name, restored.content());
             mHeld.put(name, restored.content());
-            return draining(restored.entry());
+            return restored.entry().asDraining();
         }
         onWritten(name);
         return restored.entry();
@@ -144,17 +144,4 @@
             return 0;
         }
     }
-
-    private static ReplicaEntry draining(final ReplicaEntry entry) {
-        return new ReplicaEntry(
-                entry.id(),
-                entry.upstream(),
-                entry.host(),
-                entry.port(),
-                entry.zone(),
-                entry.slots(),
-                true,
-                entry.startedMillis(),
-                entry.warmUpLeftMillis());
-    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerCodec.java
@@ -15,6 +15,8 @@
 import io.persimmonreel.core.peer.SlotGrant;
 import io.persimmonreel.core.peer.SlotRelease;
 import io.persimmonreel.core.peer.SlotUse;
+import io.persimmonreel.core.peer.StreamOrigin;
+import io.persimmonreel.core.peer.StreamQuestion;
 import io.persimmonreel.core.request.RequestIdentity;
 import io.persimmonreel.core.request.Step;
 import java.io.IOException;
@@ -64,7 +66,8 @@
                     PeerMessage.FleetMembers.class,
                     PeerMessage.ReplicaCrashNotice.class,
                     PeerMessage.MemberNames.class,
-                    PeerMessage.SlotTransfer.class);
+                    PeerMessage.SlotTransfer.class,
+                    PeerMessage.StreamTransfer.class);
 
     private static final List<Class<? extends Record>> NESTED_TYPES =
             List.of(
@@ -82,6 +85,8 @@
                     SlotGrant.class,
                     SlotRelease.class,
                     SlotUse.class,
+                    StreamOrigin.class,
+                    StreamQuestion.class,
                     RequestIdentity.class,
                     DecisionRecord.class);
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerHeaders.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerHeaders.java
@@ -14,6 +14,7 @@
  * @param expectedOutputTokens the caller's estimate of the output tokens, negative if not declared
  * @param parts the parts of the prompt in order, empty if not declared
  * @param resumeAfter the id of the last event that the caller received, null for a new stream
+ * @param resumes the attempt that brought the first event of that stream, null if not declared
  */
 public record CallerHeaders(
         String attemptId,
@@ -23,7 +24,8 @@
         int maximumOutputTokens,
         int expectedOutputTokens,
         List<PromptPart> parts,
-        String resumeAfter) {
+        String resumeAfter,
+        String resumes) {
     /** Makes a defensive copy of the parts. */
     public CallerHeaders {
         parts = List.copyOf(parts);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/NativeDialect.java
@@ -29,6 +29,9 @@
     /** Shows that a replica is leaving. */
     private static final String LEAVING = "Persimmonreel-Leaving";
 
+    /** The attempt that brought the first event of the stream that a caller continues. */
+    private static final String RESUMES = "Persimmonreel-Resumes";
+
     private static final String RESUME_AFTER = "Last-Event-ID";
     private static final DispatchHeaderNames DISPATCH_FIELDS =
             new DispatchHeaderNames(DEADLINE, REPLICA, CUSTOMER, RESUME_AFTER);
@@ -52,7 +55,8 @@
                 UNKNOWN,
                 UNKNOWN,
                 PromptPartsHeader.parse(headers.get(PROMPT_PARTS)),
-                headers.get(RESUME_AFTER));
+                headers.get(RESUME_AFTER),
+                headers.get(RESUMES));
     }
 
     @Override
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PeerExchange.java
@@ -15,6 +15,7 @@
 import io.persimmonreel.core.peer.PeerMessage.ReplicaCrashNotice;
 import io.persimmonreel.core.peer.PeerMessage.ReplicaWork;
 import io.persimmonreel.core.peer.PeerMessage.SlotTransfer;
+import io.persimmonreel.core.peer.PeerMessage.StreamTransfer;
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
 import io.persimmonreel.core.placement.FleetDivision;
 import io.persimmonreel.core.placement.SlotShares;
@@ -75,6 +76,7 @@
     private final PeerDigests mPeerDigests;
     private final QuotaPeers mQuotaPeers;
     private final DirectoryState mDirectory;
+    private final DirectoryWatch mDirectoryWatch;
     private final DirectoryExchange mDirectoryExchange;
     private final RetryBudget mBudget;
     private double mRetryRatio;
@@ -114,6 +116,7 @@
         mService = service;
         mPeerDigests = new PeerDigests(service.replicas());
         mDirectory = directory;
+        mDirectoryWatch = watch;
         mDirectoryExchange = new DirectoryExchange(directory, watch);
         mBudget = budget;
         mRetryRatio = settings.retryRatio();
@@ -126,6 +129,7 @@
     void start(final PeerTransport transport, final TimerService timers) {
         mTransport = transport;
         mSlotGrants = new SlotGrants(mSelector.name(), this, mService, transport, mTime, timers);
+        new StreamPeers(this, mService.takeUps(), mDirectoryWatch, transport, timers, mTime);
         mQuotaPeers.start(transport);
         updateConnections();
     }
@@ -239,6 +243,8 @@
             mQuotaPeers.onTransfer(from.incarnation(), transfer, now);
         } else if (message instanceof SlotTransfer transfer) {
             mSlotGrants.onTransfer(from.incarnation(), transfer, now);
+        } else if (message instanceof StreamTransfer transfer) {
+            mService.takeUps().onTransfer(from.incarnation(), transfer, now);
         } else if (message instanceof FleetMembers members) {
             mQuotaPeers.onMembers(members, now);
         } else if (message instanceof QuarantineNotice notice) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayCall.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.replica.VersionBinding;
 import io.persimmonreel.core.retry.ExecutionRecord;
 import io.persimmonreel.core.route.ResendRule;
 import io.persimmonreel.daemon.http.EventSplitter;
@@ -27,6 +28,7 @@
     private final RelayService mService;
     private final Set<String> mExcludedReplicas = new HashSet<>();
     private final ExecutionRecord mExecution = new ExecutionRecord();
+    private final VersionBinding mVersionBinding = new VersionBinding();
     private Phase mPhase = Phase.WAITING;
     private int mCountedDispatches;
     private int mDispatchCount;
@@ -76,6 +78,11 @@
         return mExcludedReplicas;
     }
 
+    /** Returns the software version to which the call is bound once the caller has events. */
+    VersionBinding versionBinding() {
+        return mVersionBinding;
+    }
+
     Phase phase() {
         return mPhase;
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -181,6 +181,7 @@
         mServer = new RelayServer(dialect, time, log, mService::limits, mService::bufferedBytes);
         mDirectory = new DirectoryState(format, mService, log);
         mDirectory.countTo(mMetrics::onDirectory);
+        mDirectory.observe(mService.takeUps());
         final DirectoryTimings timings =
                 DirectoryTimings.within(settings.propagation(), settings.recovery());
         mDirectoryWatch =
@@ -195,6 +196,7 @@
                         timings,
                         log,
                         seed + 3);
+        settings.directoryRetention().ifPresent(mDirectoryWatch::readHistory);
         mPeers =
                 new PeerExchange(
                         settings, mService, mDirectory, mDirectoryWatch, budget, time, log);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -162,6 +162,40 @@
         ExchangeLog.putNumbers(line, exchange(call)).write();
     }
 
+    /** Logs a request that continues a stream which was requested this long ago at most. */
+    void streamResumed(final RelayCall call, final long ageMillis) {
+        streamLine("asked", call, call.task().request().arrivedNanos())
+                .put("age_ms", ageMillis)
+                .write();
+    }
+
+    /** Logs a request whose stream goes on at the software version that began it. */
+    void streamContinued(final RelayCall call, final String version, final long nowNanos) {
+        mMetrics.onContinued(call.task().upstream(), "continued");
+        streamLine("continued", call, nowNanos).put("version", version).write();
+    }
+
+    /** Logs a request that is refused, since its stream may have begun at several versions. */
+    void streamUnknown(
+            final RelayCall call,
+            final boolean confirmed,
+            final long retryAfterMillis,
+            final long nowNanos) {
+        mMetrics.onContinued(call.task().upstream(), "unknown");
+        streamLine("unknown", call, nowNanos)
+                .put("confirmed", confirmed)
+                .put("return_ms", retryAfterMillis)
+                .write();
+    }
+
+    private EventLog.Line streamLine(
+            final String event, final RelayCall call, final long nowNanos) {
+        return mLog.event("stream", event)
+                .put("id", call.task().id())
+                .put("resumes", call.task().request().callerHeaders().resumes())
+                .put("ms", Math.round(call.task().waitedMillis(nowNanos)));
+    }
+
     void resent(
             final RelayCall call,
             final String resendReason,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayMetrics.java
@@ -84,6 +84,12 @@
                     "Claims of slots of upstreams with few slots, by what became of them",
                     "upstream",
                     "event");
+    private final Counter mContinuedStreams =
+            counter(
+                    "persimmonreel_relay_continued_streams_total",
+                    "Streams that callers continue, by whether their software version is known",
+                    "upstream",
+                    "outcome");
     private final Counter mQuotaUnits =
             counter(
                     "persimmonreel_relay_quota_units_total",
@@ -169,6 +175,10 @@
         mMismatches.labelValues(upstream, kind).inc();
     }
 
+    void onContinued(final String upstream, final String outcome) {
+        mContinuedStreams.labelValues(upstream, outcome).inc();
+    }
+
     void onSlots(final String upstream, final String event) {
         mSlots.labelValues(upstream, event).inc();
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -61,7 +61,6 @@
     private final Map<String, ReturnSchedule> mReturns = new HashMap<>();
     private final Executor mEventLoop;
     private final Set<String> mPendingPasses = new LinkedHashSet<>();
-
     private SlotShares mShares = SlotShares.UNDIVIDED;
     private int mDaemons = 1;
     private SlotGate mSlotGate = SlotGate.NONE;
@@ -201,8 +200,11 @@
     }
 
     private RunForecast fastestRun(final RelayCall call) {
-        return mPlacement.fastestRun(
-                call.task().work(), mReplicas.ofUpstream(call.task().upstream()));
+        return mPlacement.fastestRun(call.task().work(), candidates(call));
+    }
+
+    private List<Replica> candidates(final RelayCall call) {
+        return mService.takeUps().candidates(call);
     }
 
     /** Records that the replica of a request finished its prefill. */
@@ -234,7 +236,7 @@
     private PlaceForecast placeAtEnd(final RelayCall call) {
         final long now = mService.nowNanos();
         final String upstream = call.task().upstream();
-        final List<Replica> replicas = mReplicas.ofUpstream(upstream);
+        final List<Replica> replicas = candidates(call);
         if (mQueue.isEmpty(upstream)
                 && choose(call, mRateLimits.withPermit(replicas, now), now)
                         .filter(choice -> choice.forecast().hasRoom())
@@ -267,7 +269,7 @@
             onQuarantined(call, refusal.get());
             return true;
         }
-        final List<Replica> replicas = mReplicas.ofUpstream(call.task().upstream());
+        final List<Replica> replicas = candidates(call);
         final SlotAnswer slot = askForSlot(call, replicas, now);
         if (slot.state() == SlotAnswer.State.ASKED || slot.state() == SlotAnswer.State.WAITING) {
             return onSlotAwaited(waiting, slot, pass, now);
@@ -333,6 +335,7 @@
     private Optional<Choice> granted(final RelayCall call, final SlotAnswer slot, final long now) {
         return mReplicas
                 .find(slot.replica())
+                .filter(replica -> call.versionBinding().admits(replica.entry()))
                 .flatMap(
                         replica ->
                                 choose(call, mRateLimits.withPermit(List.of(replica), now), now));
@@ -395,7 +398,7 @@
     }
 
     private String reason(final RelayCall call, final PlacementPass pass, final long now) {
-        final List<Replica> replicas = mReplicas.ofUpstream(call.task().upstream());
+        final List<Replica> replicas = candidates(call);
         if (replicas.stream().anyMatch(replica -> replica.availability().isPushedBack(now))) {
             return "the replicas want no requests for now";
         }
@@ -463,13 +466,21 @@
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, "no other replica is left");
             return true;
         }
+        final boolean isVersionGone =
+                call.versionBinding().isBound()
+                        && candidates(call).stream().allMatch(Replica::isWithdrawn);
         // The outage may end at any time, so the request waits as long as it could be served then.
-        if (timeLeft(call, now).latestStartMillis(request.run()) >= 0
+        if (!isVersionGone
+                && timeLeft(call, now).latestStartMillis(request.run()) >= 0
                 && call.dispatchCount() < MAXIMUM_DISPATCHES) {
             call.excludedReplicas().clear();
             return false;
         }
-        refuse(call, "no replica can be used", null, PlaceForecast.UNKNOWN);
+        refuse(
+                call,
+                isVersionGone ? "no replica has the stream's version" : "no replica can be used",
+                null,
+                PlaceForecast.UNKNOWN);
         return true;
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -45,6 +45,7 @@
     private final FleetQuota mQuota;
     private final RetryBudget mBudget;
     private final ResendRules mResendRules;
+    private final StreamTakeUps mTakeUps;
     private final ContentQuarantine mQuarantine;
     private final ConfigurationMonitor mConfigurationMonitor = new ConfigurationMonitor();
     private final OutputLengthEstimator mOutputLengths = new OutputLengthEstimator();
@@ -76,7 +77,6 @@
         mConnections = connections;
         mQuarantine = new ContentQuarantine(log, seed + 2);
         mBudget = budget;
-        mResendRules = new ResendRules(mReplicas, budget);
         mQuota = quota;
         mQuotaGate = new QuotaGate(quota, time, eventLoop, log.quotaUse(), this::hasRoom, this);
         mResolver = new RequestResolver(mOutputLengths, seed);
@@ -85,6 +85,8 @@
         mReplicaObserver =
                 new ReplicaObserver(
                         time, log, mCalls, mQuarantine, mRateLimits, connections, lastResort);
+        mTakeUps = new StreamTakeUps(mReplicas, time, log, mQuotaGate::admit);
+        mResendRules = new ResendRules(mTakeUps, budget);
         mScheduler = new RelayScheduler(this, log, eventLoop, heldLimits, seed + 1);
     }
 
@@ -124,6 +126,10 @@
         return mReplicaObserver;
     }
 
+    StreamTakeUps takeUps() {
+        return mTakeUps;
+    }
+
     RelayScheduler scheduler() {
         return mScheduler;
     }
@@ -187,6 +193,7 @@
     @Override
     public void onReplicas(final Collection<ReplicaEntry> entries) {
         mReplicas.replace(entries);
+        mTakeUps.versions().onReplicas(entries, nowNanos(), mTime.wallMillis());
         mRateLimits.coldReplicas().onEntries(entries, nowNanos());
         mScheduler.placeAll();
     }
@@ -248,6 +255,7 @@
                                 "no configuration is known",
                                 NO_CONFIGURATION_RETRY_AFTER_MILLIS));
         mQuota.onTimer(nowNanos);
+        mTakeUps.onTimer(nowNanos);
         mScheduler.placeAll();
         mReplicaObserver.onTimer(nowNanos);
     }
@@ -341,6 +349,7 @@
 
     void onFirstEvent(final RelayCall call) {
         final long now = nowNanos();
+        mTakeUps.onFirstEvent(call);
         mScheduler.onPrefillDone(call);
         mQuarantine.onBegun(call, now);
         mLog.firstEvent(call, now);
@@ -381,6 +390,7 @@
 
     void onDone(final RelayCall call) {
         mScheduler.remove(call);
+        mTakeUps.remove(call);
         mCalls.remove(call);
         mQuotaGate.onDone(call);
         mScheduler.requestPass(call.task().upstream());
@@ -425,7 +435,7 @@
         }
         mCalls.add(call);
         mBudget.onRequest(task.upstream());
-        mQuotaGate.admit(call);
+        mTakeUps.admit(call);
     }
 
     private void refuse(
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelaySettings.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.persimmonreel.core.quota.QuotaTolerance;
 import io.persimmonreel.core.warmup.WarmUpBound;
+import io.persimmonreel.daemon.directory.DirectoryRetention;
 import io.persimmonreel.daemon.settings.SettingsException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -42,6 +43,7 @@
  * @param warmUpBound the bound on requests to cold replicas, empty if there is none
  * @param evacuation the time within which an evacuated availability zone must stop receiving new
  *     requests, empty if zones are not evacuated
+ * @param directoryRetention what the directory keeps of past changes, empty if it is not known
  */
 public record RelaySettings(
         String name,
@@ -61,7 +63,8 @@
         QuotaTolerance quotaTolerance,
         HeldLimits heldLimits,
         Optional<WarmUpBound> warmUpBound,
-        Optional<Duration> evacuation) {
+        Optional<Duration> evacuation,
+        Optional<DirectoryRetention> directoryRetention) {
     private static final ObjectMapper MAPPER =
             JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
@@ -145,7 +148,18 @@
                                         reader.number(
                                                 "heldBodyBytes", HeldLimits.STANDARD.bodyBytes()))),
                 warmUpBound(reader),
-                evacuation);
+                evacuation,
+                directoryRetention(reader));
+    }
+
+    private static Optional<DirectoryRetention> directoryRetention(final Reader reader)
+            throws SettingsException {
+        return reader.root().hasNonNull("directoryHistorySeconds")
+                ? Optional.of(
+                        new DirectoryRetention(
+                                reader.seconds("directoryHistorySeconds"),
+                                Duration.ofMillis((long) reader.number("replicaWriteMillis"))))
+                : Optional.empty();
     }
 
     private static Optional<Duration> evacuation(final Reader reader) throws SettingsException {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestResolver.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RequestResolver.java
@@ -5,7 +5,9 @@
 import io.persimmonreel.core.placement.WorkSize;
 import io.persimmonreel.core.route.RelayConfiguration;
 import io.persimmonreel.core.route.RelayCustomer;
+import io.persimmonreel.core.route.ResendRule;
 import io.persimmonreel.core.route.Route;
+import io.persimmonreel.core.stream.StreamKey;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -52,7 +54,8 @@
         if (route.isEmpty()) {
             return Result.refuse(HttpResponseStatus.NOT_FOUND, "no route matches");
         }
-        final String upstream = route.get().pickUpstream(mRandom.nextDouble());
+        final String upstream =
+                route.get().pickUpstream(fraction(route.get(), request.callerHeaders()));
         if (!configuration.needsKey(route.get())) {
             return accept(request, configuration, route.get(), upstream, null, 0);
         }
@@ -65,6 +68,17 @@
         return accept(request, configuration, route.get(), upstream, customer.get(), units);
     }
 
+    /** Returns the number that chooses the upstream, the same for all attempts of a stream. */
+    private double fraction(final Route route, final CallerHeaders headers) {
+        final String attempt =
+                headers.resumes() == null || headers.resumeAfter() == null
+                        ? headers.attemptId()
+                        : headers.resumes();
+        return route.resendRule() == ResendRule.RESUMABLE_STREAM && !attempt.isEmpty()
+                ? StreamKey.fraction(attempt)
+                : mRandom.nextDouble();
+    }
+
     private Result accept(
             final CallerRequest request,
             final RelayConfiguration configuration,
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ResendRules.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ResendRules.java
@@ -1,6 +1,5 @@
 package io.persimmonreel.daemon.relay;
 
-import io.persimmonreel.core.replica.ReplicaRegistry;
 import io.persimmonreel.core.retry.RetryBudget;
 import java.util.HashSet;
 import java.util.Set;
@@ -10,11 +9,11 @@
     /** The minimum remaining time for a resend; with less the response can't arrive in time. */
     private static final double MINIMUM_RESEND_MILLIS = 60;
 
-    private final ReplicaRegistry mReplicas;
+    private final StreamTakeUps mTakeUps;
     private final RetryBudget mBudget;
 
-    ResendRules(final ReplicaRegistry replicas, final RetryBudget budget) {
-        mReplicas = replicas;
+    ResendRules(final StreamTakeUps takeUps, final RetryBudget budget) {
+        mTakeUps = takeUps;
         mBudget = budget;
     }
 
@@ -37,7 +36,7 @@
         final double millisLeft = call.task().millisLeft(nowNanos) - MINIMUM_RESEND_MILLIS;
         final Set<String> used = new HashSet<>(call.excludedReplicas());
         used.add(call.replica().entry().id());
-        return mReplicas.ofUpstream(call.task().upstream()).stream()
+        return mTakeUps.candidates(call).stream()
                 .anyMatch(
                         replica ->
                                 replica.waitMillis(nowNanos) < millisLeft
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryWatchTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/DirectoryWatchTest.java
@@ -33,6 +33,7 @@
     private long mVersion;
 
     private VirtualDirectory mDirectory;
+    private DirectoryWatch mWatch;
 
     @BeforeEach
     void advanceFromZero() {
@@ -49,7 +50,8 @@
         mDirectory = new VirtualDirectory(mTimers, timings.responseTimeout());
         final DirectoryState state =
                 new DirectoryState(new VersionFormat(), new VersionListener(), mLog);
-        new DirectoryWatch(mDirectory, state, mTimers, mTimers, timings, mLog, seed).start();
+        mWatch = new DirectoryWatch(mDirectory, state, mTimers, mTimers, timings, mLog, seed);
+        mWatch.start();
         mTimers.advance(WARM_UP);
     }
 
@@ -141,4 +143,53 @@
             }
         }
     }
+
+    @Nested
+    class Confirmation {
+        /** Covers the read of the version, the call for the change and their responses. */
+        private static final Duration TWO_CALLS = Duration.ofMillis(50);
+
+        private long mSeen;
+
+        @BeforeEach
+        void start() {
+            startWatch(Duration.ofSeconds(2), Duration.ofSeconds(3), 1);
+        }
+
+        /** Guards against a confirmation by a call that the directory answered before. */
+        @Test
+        void followsTheChangesThatTheDirectoryHas() {
+            for (int i = 0; i < 60; i++) {
+                final long published = mDirectory.publish();
+                mSeen = 0;
+                mWatch.confirm(now -> mSeen = mVersion);
+                mTimers.advance(STEP.multipliedBy(2));
+                assertThat(mSeen).isEqualTo(published);
+                mTimers.advance(Duration.ofMillis(37));
+            }
+        }
+
+        @Test
+        void comesSoonWithoutChanges() {
+            for (int i = 0; i < 60; i++) {
+                mSeen = 0;
+                mWatch.confirm(now -> mSeen = mVersion);
+                mTimers.advance(TWO_CALLS);
+                assertThat(mSeen).isPositive();
+                mTimers.advance(Duration.ofMillis(37));
+            }
+        }
+
+        /** Guards against a stale view that is taken for a current one during an outage. */
+        @Test
+        void doesNotComeWhileTheWatchIsSilent() {
+            mDirectory.silenceConnection();
+            mDirectory.publish();
+            mWatch.confirm(now -> mSeen = now);
+            mTimers.advance(Duration.ofMillis(300));
+            assertThat(mSeen).isZero();
+            mTimers.advance(WARM_UP);
+            assertThat(mSeen).isPositive();
+        }
+    }
 }
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/RestorableDirectory.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/RestorableDirectory.java
@@ -3,6 +3,7 @@
 import io.persimmonreel.core.peer.DirectoryVersion;
 import io.persimmonreel.daemon.time.VirtualTimers;
 import java.time.Duration;
+import java.util.List;
 import java.util.TreeMap;
 
 /**
@@ -77,6 +78,18 @@
         respond(listener, mFailsReads ? () -> listener.onFailure("down") : documents(listener));
     }
 
+    @Override
+    public void readHistory(final long revision, final Listener listener) {
+        listener.onFailure("no history");
+    }
+
+    @Override
+    public void readVersion(final Listener listener) {
+        respond(
+                listener,
+                () -> listener.onDocuments(new DirectoryVersion(mEra, mRevision), List.of()));
+    }
+
     @Override
     public void watch(final long afterRevision, final long waitMillis, final Listener listener) {
         if (mNextIsLate) {
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/VirtualDirectory.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/VirtualDirectory.java
@@ -52,6 +52,19 @@
         mFirstWorkingConnection = mConnection + 1;
     }
 
+    @Override
+    public void readHistory(final long revision, final Listener listener) {
+        listener.onFailure("no history");
+    }
+
+    @Override
+    public void readVersion(final Listener listener) {
+        mTimers.after(
+                "version",
+                RESPONSE_DELAY,
+                now -> listener.onDocuments(new DirectoryVersion(mEra, mRevision), List.of()));
+    }
+
     @Override
     public void readAll(final Listener listener) {
         final Call call = new Call(listener, Duration.ZERO);
--- a/daemon/src/test/java/io/persimmonreel/daemon/directory/ZoneEvacuationsTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/directory/ZoneEvacuationsTest.java
@@ -187,6 +187,14 @@
                             final long afterRevision,
                             final long waitMillis,
                             final Listener listener) {}
+
+                    @Override
+                    public void readHistory(final long revision, final Listener listener) {
+                        listener.onFailure("no history");
+                    }
+
+                    @Override
+                    public void readVersion(final Listener listener) {}
                 };
 
         private final Recorder mPeerRecorder = new Recorder();
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/DirectoryExchangeTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/DirectoryExchangeTest.java
@@ -83,6 +83,16 @@
             respond(listener);
         }
 
+        @Override
+        public void readHistory(final long revision, final Listener listener) {
+            listener.onFailure("no history");
+        }
+
+        @Override
+        public void readVersion(final Listener listener) {
+            respond(listener);
+        }
+
         private void respond(final Listener listener) {
             if (mReachable) {
                 listener.onDocuments(
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -324,6 +324,7 @@
                 QuotaTolerance.NONE,
                 HeldLimits.STANDARD,
                 warmUpBound,
+                Optional.empty(),
                 Optional.empty());
     }
 
@@ -344,6 +345,16 @@
                 final long afterRevision, final long waitMillis, final Listener listener) {
             listener.onDocuments(new DirectoryVersion(0, afterRevision), mDocuments);
         }
+
+        @Override
+        public void readHistory(final long revision, final Listener listener) {
+            listener.onFailure("no history");
+        }
+
+        @Override
+        public void readVersion(final Listener listener) {
+            listener.onDocuments(new DirectoryVersion(0, 1), List.of());
+        }
     }
 
     /** Decodes replica documents and returns the configuration of the fixture. */
