Report upstreams of which most replicas are unreachable from a daemon

Cause: a daemon that has lost its links refuses with "all replicas are busy" or "no replica can be used", and nothing but single lines on each replica shows that the link is at fault.

Change: HealthRecord remembers that the last connection failed, until a success, 10 s at most; a 421 no longer counts as such. When this holds for most replicas of an upstream, the log has reachability/lost, then reachability/restored, and refusals say that most replicas are unreachable from this daemon. The gauge persimmonreel_relay_unreachable_replicas shows their number. No decision depends on it.

Evidence: HealthRecordTest and UpstreamReachabilityTest pass, as do RelayDaemonTest, RelayRandomTest and ReplicaAvailabilityRelayTest.

--- a/core/src/main/java/io/persimmonreel/core/replica/HealthRecord.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/HealthRecord.java
@@ -19,6 +19,12 @@
 
     private static final long LONGEST_EJECTION_NANOS = 6_000_000_000L;
 
+    /**
+     * Time in nanoseconds for which a failed connection counts as evidence; longer than the longest
+     * ejection, after which the replica is tried again.
+     */
+    private static final long UNREACHABLE_LIFETIME_NANOS = 10_000_000_000L;
+
     /** Weight of one result in the moving average of the failure rate. */
     private static final double RESULT_WEIGHT = 0.12;
 
@@ -30,10 +36,13 @@
     private volatile long mEjectedUntilNanos = Long.MIN_VALUE / 2;
     private volatile long mEjectionNanos = FIRST_EJECTION_NANOS;
     private volatile boolean mOnProbation;
+    private volatile boolean mUnreachable;
+    private volatile long mUnreachableNanos;
 
     /** Records a request that succeeded. */
     public void onSuccess() {
         mConsecutiveFailures = 0;
+        mUnreachable = false;
         mFailureRate -= RESULT_WEIGHT * mFailureRate;
         if (mOnProbation && mFailureRate < EJECTION_FAILURE_RATE) {
             mOnProbation = false;
@@ -83,10 +92,33 @@
      * @return true if this ejects the replica
      */
     public boolean onUnreachable(final long nowNanos) {
+        mUnreachableNanos = nowNanos;
+        mUnreachable = true;
+        return onMisdirected(nowNanos);
+    }
+
+    /**
+     * Records that the replica's address belongs to another replica now, which ejects the replica
+     * at once.
+     *
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return true if this ejects the replica
+     */
+    public boolean onMisdirected(final long nowNanos) {
         mConsecutiveFailures = Math.max(mConsecutiveFailures, EJECTION_FAILURES - 1);
         return onFailure(nowNanos);
     }
 
+    /**
+     * Returns whether the last connection to the replica could not be opened.
+     *
+     * @param nowNanos the current monotonic time in nanoseconds
+     * @return true until a request succeeds, 10 s at most
+     */
+    public boolean isUnreachable(final long nowNanos) {
+        return mUnreachable && nowNanos - mUnreachableNanos < UNREACHABLE_LIFETIME_NANOS;
+    }
+
     /**
      * Returns whether the replica is ejected.
      *
--- a/core/src/test/java/io/persimmonreel/core/replica/HealthRecordTest.java
+++ b/core/src/test/java/io/persimmonreel/core/replica/HealthRecordTest.java
@@ -70,4 +70,19 @@
     void ejectsUnreachableReplicaAtOnce() {
         assertThat(mHealth.onUnreachable(0)).isTrue();
     }
+
+    @Test
+    void isUnreachableUntilASuccessForTenSecondsAtMost() {
+        mHealth.onUnreachable(0);
+        assertThat(mHealth.isUnreachable(9 * SECOND)).isTrue();
+        assertThat(mHealth.isUnreachable(10 * SECOND)).isFalse();
+        mHealth.onSuccess();
+        assertThat(mHealth.isUnreachable(SECOND)).isFalse();
+    }
+
+    @Test
+    void ejectsMisdirectedReplicaWhichIsNotUnreachable() {
+        assertThat(mHealth.onMisdirected(0)).isTrue();
+        assertThat(mHealth.isUnreachable(0)).isFalse();
+    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -342,6 +342,13 @@
                 "persimmonreel_relay_evacuated_zones",
                 "Availability zones whose replicas get no requests",
                 () -> mService.replicas().evacuatedZones().size());
+        mMetrics.gauge(
+                "persimmonreel_relay_unreachable_replicas",
+                "Replicas to which this daemon could not open its last connection",
+                () ->
+                        mService.replicaObserver()
+                                .reachability()
+                                .unreachableCount(mTime.monotonicNanos()));
         mDirectoryWatch.start();
         mPeers.start(mTransport, mTimers);
         mTimers.every("relay-idle", IDLE_TICK, this::onIdleTick);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -9,6 +9,7 @@
 import io.persimmonreel.core.quota.QuotaState;
 import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.replica.UpstreamReachability;
 import io.persimmonreel.core.warmup.ColdReplicaEvent;
 import io.persimmonreel.daemon.log.EventLog;
 import java.util.Locale;
@@ -17,7 +18,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Writes decisions on relayed requests to the log and updates the metrics. */
-final class RelayLog {
+final class RelayLog implements UpstreamReachability.Listener {
     private static final int SECONDS_PER_MINUTE = 60;
     private static final double PARTS_PER_MILLION = 1e6;
 
@@ -404,6 +405,23 @@
                 .write();
     }
 
+    @Override
+    public void onLost(final String upstream, final int unreachable, final int replicas) {
+        mLog.event("reachability", "lost")
+                .put("upstream", upstream)
+                .put("unreachable", unreachable)
+                .put("replicas", replicas)
+                .write();
+    }
+
+    @Override
+    public void onRestored(final String upstream, final long nanos) {
+        mLog.event("reachability", "restored")
+                .put("upstream", upstream)
+                .put("for_ms", TimeUnit.NANOSECONDS.toMillis(nanos))
+                .write();
+    }
+
     /** Logs that a replica says that it is leaving. */
     void leaving(final RelayCall call) {
         mMetrics.onAvailability(call.task().upstream(), "leaving");
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -402,7 +402,12 @@
         if (mRateLimits.withPermit(replicas, now).size() < replicas.size()) {
             return "the replicas limit the rate of requests";
         }
-        return pass.isWithoutCapacity() ? "no replica can be used" : "all replicas are busy";
+        return mService.replicaObserver()
+                .refusalReason(
+                        call,
+                        pass.isWithoutCapacity()
+                                ? "no replica can be used"
+                                : "all replicas are busy");
     }
 
     /** Returns the time that the caller has left, at most until the end of the process. */
@@ -469,7 +474,9 @@
             call.excludedReplicas().clear();
             return false;
         }
-        refuse(call, "no replica can be used", null, PlaceForecast.UNKNOWN);
+        final String reason =
+                mService.replicaObserver().refusalReason(call, "no replica can be used");
+        refuse(call, reason, null, PlaceForecast.UNKNOWN);
         return true;
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -84,7 +84,14 @@
         mNotices = new FleetNotices(mQuarantine, mRateLimits);
         mReplicaObserver =
                 new ReplicaObserver(
-                        time, log, mCalls, mQuarantine, mRateLimits, connections, lastResort);
+                        time,
+                        log,
+                        mCalls,
+                        mQuarantine,
+                        mRateLimits,
+                        mReplicas,
+                        connections,
+                        lastResort);
         mScheduler = new RelayScheduler(this, log, eventLoop, heldLimits, seed + 1);
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.core.replica.ReplicaRegistry;
+import io.persimmonreel.core.replica.UpstreamReachability;
 import io.persimmonreel.core.time.TimeSource;
 import java.time.Duration;
 import java.util.Collection;
@@ -24,6 +26,7 @@
     private final ReplicaRateLimits mRateLimits;
     private final long mLastResortNanos;
     private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
+    private final UpstreamReachability mReachability;
     private SlotGate mSlotGate = SlotGate.NONE;
 
     ReplicaObserver(
@@ -32,6 +35,7 @@
             final ActiveCalls calls,
             final ContentQuarantine quarantine,
             final ReplicaRateLimits rateLimits,
+            final ReplicaRegistry replicas,
             final UpstreamConnectionPool connections,
             final Duration lastResort) {
         mTime = time;
@@ -40,6 +44,7 @@
         mQuarantine = quarantine;
         mRateLimits = rateLimits;
         mLastResortNanos = lastResort.toNanos();
+        mReachability = new UpstreamReachability(replicas, log);
         mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
     }
 
@@ -48,6 +53,17 @@
         return mRateLimits.coldReplicas().tryWrite(call.dispatch(), mTime.monotonicNanos());
     }
 
+    UpstreamReachability reachability() {
+        return mReachability;
+    }
+
+    /** Returns the reason for a refusal, which is another one if the replicas are unreachable. */
+    String refusalReason(final RelayCall call, final String ifReachable) {
+        return mReachability.isLost(call.task().upstream())
+                ? "most replicas are unreachable from this daemon"
+                : ifReachable;
+    }
+
     void use(final SlotGate gate) {
         mSlotGate = gate;
     }
@@ -74,6 +90,7 @@
 
     void onUnreachable(final RelayCall call, final String reason) {
         final long now = mTime.monotonicNanos();
+        mReachability.onUnreachable();
         if (call.replica().health().onUnreachable(now)) {
             mLog.avoided(call.replica(), "unreachable: " + reason);
         }
@@ -102,7 +119,7 @@
     void onRefused(final RelayCall call, final HttpResponseStatus status) {
         final long now = mTime.monotonicNanos();
         if (ReplicaResponses.isMisdirected(status)) {
-            call.replica().health().onUnreachable(now);
+            call.replica().health().onMisdirected(now);
             mLog.avoided(call.replica(), "another replica now uses its address");
         } else if (call.replica().load(now) < call.replica().entry().slots()) {
             // A replica that refuses a request although it has free slots counts as faulty.
@@ -110,8 +127,9 @@
         }
     }
 
-    /** Looks for replicas all of whose exchanges broke at once. */
+    /** Looks for unreachable upstreams, and for replicas all of whose exchanges broke at once. */
     void onTimer(final long nowNanos) {
+        mReachability.onTimer(nowNanos);
         mCrashDetector.onTimer(mCalls::hasOlderAt, nowNanos, this::onCrash);
     }
 
