--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -11,6 +11,7 @@
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.warmup.ColdReplicaEvent;
 import io.persimmonreel.daemon.log.EventLog;
+import io.persimmonreel.daemon.log.ReachabilityLog;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -41,6 +42,10 @@
         return mQuotaUse;
     }
 
+    ReachabilityLog reachability() {
+        return new ReachabilityLog(mLog);
+    }
+
     /** Logs a request that was refused on arrival, before it was queued. */
     void refusedOnArrival(
             final CallerRequest request,
@@ -162,13 +167,6 @@
         ExchangeLog.putNumbers(line, exchange(call)).write();
     }
 
-    /** Logs a request that continues a stream which was requested this long ago at most. */
-    void streamResumed(final RelayCall call, final long ageMillis) {
-        streamLine("asked", call, call.task().request().arrivedNanos())
-                .put("age_ms", ageMillis)
-                .write();
-    }
-
     /** Logs a request whose stream goes on at the software version that began it. */
     void streamContinued(final RelayCall call, final String version, final long nowNanos) {
         mMetrics.onContinued(call.task().upstream(), "continued");
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -45,8 +45,6 @@
     /** The Retry-After time during shutdown; another daemon can serve the caller at once. */
     private static final long SHUTDOWN_RETRY_AFTER_MILLIS = 10;
 
-    private static final double NANOS_PER_MILLI = 1e6;
-
     private final RelayService mService;
     private final RelayLog mLog;
     private final ReplicaRegistry mReplicas;
@@ -287,9 +285,7 @@
             return onNoReplica(waiting, now);
         }
         if (chosen.isPresent() && isLeavingBeforeEnd(call, chosen.get(), now)) {
-            mLog.refusedWhileQueued(
-                    call, "the daemon is leaving", chosen.get(), SHUTDOWN_RETRY_AFTER_MILLIS);
-            fail(call, "the daemon is leaving", SHUTDOWN_RETRY_AFTER_MILLIS);
+            refuse(call, "the daemon is leaving", chosen.get(), SHUTDOWN_RETRY_AFTER_MILLIS);
             return true;
         }
         if (granted.isPresent()) {
@@ -399,26 +395,21 @@
 
     private String reason(final RelayCall call, final PlacementPass pass, final long now) {
         final List<Replica> replicas = candidates(call);
+        final boolean isAllowed = mRateLimits.withPermit(replicas, now).size() == replicas.size();
         if (replicas.stream().anyMatch(replica -> replica.availability().isPushedBack(now))) {
             return "the replicas want no requests for now";
         }
-        if (mRateLimits.withPermit(replicas, now).size() < replicas.size()) {
-            return "the replicas limit the rate of requests";
-        }
-        return pass.isWithoutCapacity() ? "no replica can be used" : "all replicas are busy";
+        final String reason =
+                pass.isWithoutCapacity() ? "no replica can be used" : "all replicas are busy";
+        return isAllowed
+                ? mService.replicaObserver().refusalReason(call, reason)
+                : "the replicas limit the rate of requests";
     }
 
     /** Returns the time that the caller has left, at most until the end of the process. */
     private TimeLeft timeLeft(final RelayCall call, final long now) {
         final TimeLeft left = call.task().timeLeft(now);
-        return mShutdown == null
-                ? left
-                : new TimeLeft(
-                        left.objectiveMillis(),
-                        left.firstEventMillis(),
-                        Math.min(
-                                left.deadlineMillis(),
-                                (mShutdown.processEndNanos() - now) / NANOS_PER_MILLI));
+        return mShutdown == null ? left : mShutdown.limit(left, now);
     }
 
     /** Returns whether this process may end before a request that was not sent yet. */
@@ -448,15 +439,14 @@
         return mShutdownAdmission.accepts(
                 call.task().forecast(choice).withDeadline(call.task().millisLeft(now)),
                 arrivedNanos - mShutdown.balancersReactedNanos() >= 0,
-                (mShutdown.processEndNanos() - now) / NANOS_PER_MILLI);
+                mShutdown.millisLeft(now));
     }
 
     private void onQuarantined(final RelayCall call, final ContentQuarantine.Refusal refusal) {
         if (!call.canBeRefused()) {
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, refusal.reason());
         } else {
-            mLog.refusedWhileQueued(call, refusal.reason(), null, refusal.retryAfterMillis());
-            fail(call, refusal.reason(), refusal.retryAfterMillis());
+            refuse(call, refusal.reason(), null, refusal.retryAfterMillis());
         }
     }
 
@@ -476,11 +466,11 @@
             call.excludedReplicas().clear();
             return false;
         }
-        refuse(
-                call,
-                isVersionGone ? "no replica has the stream's version" : "no replica can be used",
-                null,
-                PlaceForecast.UNKNOWN);
+        final String reason =
+                isVersionGone
+                        ? "no replica has the stream's version"
+                        : mService.replicaObserver().refusalReason(call, "no replica can be used");
+        refuse(call, reason, null, PlaceForecast.UNKNOWN);
         return true;
     }
 
@@ -489,12 +479,15 @@
             final String reason,
             final Choice best,
             final PlaceForecast place) {
-        final long retryAfterMillis = retryAfterMillis(call, place);
-        mLog.refusedWhileQueued(call, reason, best, retryAfterMillis);
-        fail(call, reason, retryAfterMillis);
+        refuse(call, reason, best, retryAfterMillis(call, place));
     }
 
-    private void fail(final RelayCall call, final String reason, final long retryAfterMillis) {
+    private void refuse(
+            final RelayCall call,
+            final String reason,
+            final Choice best,
+            final long retryAfterMillis) {
+        mLog.refusedWhileQueued(call, reason, best, retryAfterMillis);
         call.fail(HttpResponseStatus.BAD_GATEWAY, reason, retryAfterMillis);
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/StreamTakeUps.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/StreamTakeUps.java
@@ -84,7 +84,6 @@
             final long ageMillis =
                     mPatience.ageMillis(
                             route.name(), route.timeoutMillis(), headers.deadlineMillis());
-            mLog.streamResumed(call, ageMillis);
             mExchange.begin(
                     call,
                     call.task().upstream(),
