--- a/core/src/main/java/io/persimmonreel/core/stream/StreamExchange.java
+++ b/core/src/main/java/io/persimmonreel/core/stream/StreamExchange.java
@@ -126,7 +126,9 @@
             final long nowNanos) {
         mNowNanos = nowNanos;
         final Optional<Long> stream =
-                Optional.ofNullable(attemptId).map(id -> StreamKey.of(upstream, id));
+                Optional.ofNullable(attemptId)
+                        .filter(id -> !id.isEmpty())
+                        .map(id -> StreamKey.of(upstream, id));
         final long ageNanos = TimeUnit.MILLISECONDS.toNanos(ageMillis);
         if (mRequests.begin(request, stream, upstream, ageNanos, nowNanos)) {
             return;
--- a/core/src/main/java/io/persimmonreel/core/stream/StreamOrigins.java
+++ b/core/src/main/java/io/persimmonreel/core/stream/StreamOrigins.java
@@ -49,12 +49,15 @@
     }
 
     /**
-     * Forgets streams that began too long ago to be continued.
+     * Forgets the eldest streams, which began too long ago to be continued.
      *
      * @param nowNanos the current monotonic time in nanoseconds
      */
     public void removeExpired(final long nowNanos) {
-        mOrigins.values().removeIf(origin -> nowNanos - origin.beganNanos() > RETENTION_NANOS);
+        final Iterator<Origin> eldest = mOrigins.values().iterator();
+        while (eldest.hasNext() && nowNanos - eldest.next().beganNanos() > RETENTION_NANOS) {
+            eldest.remove();
+        }
     }
 
     /**
--- a/core/src/main/java/io/persimmonreel/core/stream/StreamVersions.java
+++ b/core/src/main/java/io/persimmonreel/core/stream/StreamVersions.java
@@ -17,7 +17,7 @@
 
     private final SoftwareVersions mSoftware = new SoftwareVersions();
     private final StreamOrigins mOrigins = new StreamOrigins();
-    private boolean mIsAnyCutOff;
+    private boolean mIsAnyCutOff = true;
 
     /**
      * Returns the software versions of the upstreams.
@@ -55,6 +55,11 @@
         return mSoftware.beganAt(upstream, stream, nowNanos - ageNanos - lagNanos);
     }
 
+    /** Returns whether an upstream had one version only for as long as a stream can have lived. */
+    boolean hasOneVersion(final String upstream, final long ageNanos, final long nowNanos) {
+        return mSoftware.hasOneVersionSince(upstream, nowNanos - ageNanos - CUT_OFF_LAG_NANOS);
+    }
+
     /** Sets whether a daemon may be cut off from this one, or was lately. */
     void onCutOff(final boolean isAnyCutOff) {
         mIsAnyCutOff = isAnyCutOff;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -92,7 +92,12 @@
                         mReplicas,
                         connections,
                         lastResort);
-        mTakeUps = new StreamTakeUps(mReplicas, time, log, mQuotaGate::admit);
+        mTakeUps =
+                new StreamTakeUps(
+                        mReplicas,
+                        time,
+                        log,
+                        call -> runFor(call, "admission", () -> mQuotaGate.admit(call)));
         mResendRules = new ResendRules(mTakeUps, budget);
         mScheduler = new RelayScheduler(this, log, eventLoop, heldLimits, seed + 1);
     }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ReplicaObserver.java
@@ -26,6 +26,7 @@
     private final ReplicaRateLimits mRateLimits;
     private final long mLastResortNanos;
     private final ReplicaCrashDetector<BrokenExchange> mCrashDetector;
+    private final ReplicaRegistry mReplicas;
     private final UpstreamReachability mReachability;
     private SlotGate mSlotGate = SlotGate.NONE;
 
@@ -44,13 +45,20 @@
         mQuarantine = quarantine;
         mRateLimits = rateLimits;
         mLastResortNanos = lastResort.toNanos();
+        mReplicas = replicas;
         mReachability = new UpstreamReachability(replicas, log.reachability());
         mCrashDetector = new ReplicaCrashDetector<>(connections::hasOpenIdle);
     }
 
     /** Returns whether the request of a call may be written to a connection to its replica. */
     boolean mayWrite(final RelayCall call) {
-        return mRateLimits.coldReplicas().tryWrite(call.dispatch(), mTime.monotonicNanos());
+        final boolean isAdmitted =
+                mReplicas
+                        .find(call.replica().entry().id())
+                        .map(replica -> call.versionBinding().admits(replica.entry()))
+                        .orElse(true);
+        return isAdmitted
+                && mRateLimits.coldReplicas().tryWrite(call.dispatch(), mTime.monotonicNanos());
     }
 
     UpstreamReachability reachability() {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/StreamPeers.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/StreamPeers.java
@@ -32,7 +32,7 @@
     private final PeerTransport mTransport;
     private final TimerService mTimers;
     private final TimeSource mTime;
-    private final SilentPeers mSilentPeers = new SilentPeers();
+    private final SilentPeers mSilentPeers;
     private boolean mIsFlushScheduled;
 
     StreamPeers(
@@ -48,6 +48,7 @@
         mTransport = transport;
         mTimers = timers;
         mTime = time;
+        mSilentPeers = new SilentPeers(time.monotonicNanos());
         takeUps.use(this);
         timers.every(
                 "silent-peers",
