Report only entries that changed to the observer of the directory

Cause: each write of a replica was reported as an entry, and the record of software versions keeps reported entries until the replicas change. A directory that shows writes which change nothing but their number would make that list grow without bound between two changes. Change: an entry that equals the one before it is not reported. The test failed before, with r1 reported twice.

--- a/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/directory/DirectoryState.java
@@ -429,10 +429,10 @@
             final ReplicaEntry entry = inForce(name, content, origin);
             mContents.put(name, content);
             final ReplicaEntry previous = mReplicas.put(name, entry);
-            mObserver.onEntry(entry);
             if (entry.equals(previous)) {
                 return false;
             }
+            mObserver.onEntry(entry);
             logReplica(previous == null ? "added" : "changed", entry);
             return true;
         } catch (final DirectoryException e) {
