Simplify the record of software versions

One filter serves both questions on a period, the ready replicas are selected once, and the needs of a stream that begins are those of one that is continued.

--- a/core/src/main/java/io/persimmonreel/core/replica/VersionBinding.java
+++ b/core/src/main/java/io/persimmonreel/core/replica/VersionBinding.java
@@ -70,7 +70,6 @@
      * @return true if the replica has the version, or the request has none
      */
     public boolean admits(final ReplicaEntry entry) {
-        final String version = mBound == null ? mAssigned : mBound;
-        return version == null || version.equals(entry.version());
+        return version().map(entry.version()::equals).orElse(true);
     }
 }
--- a/core/src/main/java/io/persimmonreel/core/stream/CallerDeadlines.java
+++ b/core/src/main/java/io/persimmonreel/core/stream/CallerDeadlines.java
@@ -8,11 +8,11 @@
  * Estimates for how long callers of a route wait, all their attempts together, from the longest
  * time that a request declared. Not thread safe.
  */
-public final class CallerPatience {
+public final class CallerDeadlines {
     /** The maximum number of routes; the eldest are forgotten first. */
     private static final int MAXIMUM_ROUTES = 4_096;
 
-    /** The patience that is assumed for a route that was not observed, in milliseconds. */
+    /** The time that is assumed for a route that was not observed, in milliseconds. */
     private static final long TYPICAL_MILLIS = 15_000;
 
     /** The time after which the requests of a route show how long its callers wait. */
--- a/core/src/main/java/io/persimmonreel/core/stream/SoftwareVersions.java
+++ b/core/src/main/java/io/persimmonreel/core/stream/SoftwareVersions.java
@@ -204,12 +204,10 @@
      * @return the version, or empty if it may begin at any replica
      */
     public Optional<String> assigned(final String upstream, final long stream) {
-        final Collection<Listing> listings = listings(upstream);
-        return hasSeveralVersions(listings.stream().filter(listing -> listing.mIsReady).toList())
-                ? listings.stream()
-                        .filter(listing -> listing.mIsReady)
-                        .max(byRank(stream))
-                        .map(listing -> listing.mVersion)
+        final List<Listing> ready =
+                listings(upstream).stream().filter(listing -> listing.mIsReady).toList();
+        return hasSeveralVersions(ready)
+                ? ready.stream().max(byRank(stream)).map(listing -> listing.mVersion)
                 : Optional.empty();
     }
 
@@ -227,22 +225,15 @@
         if (!isCompleteSince(fromNanos)) {
             return Optional.empty();
         }
-        final List<Listing> listings =
-                listings(upstream).stream()
-                        .filter(listing -> listing.wasReadySince(fromNanos))
-                        .toList();
+        final List<Listing> listings = readySince(upstream, fromNanos);
         return stream.isEmpty() || !hasSeveralVersions(listings)
                 ? onlyVersion(listings)
                 : onlyVersion(selectable(listings, stream.get(), fromNanos));
     }
 
-    /** Returns whether all replicas since a time are known, and had several versions. */
+    /** Returns whether all replicas since a time are known, and did not have several versions. */
     boolean hasOneVersionSince(final String upstream, final long fromNanos) {
-        return isCompleteSince(fromNanos)
-                && !hasSeveralVersions(
-                        listings(upstream).stream()
-                                .filter(listing -> listing.wasReadySince(fromNanos))
-                                .toList());
+        return isCompleteSince(fromNanos) && !hasSeveralVersions(readySince(upstream, fromNanos));
     }
 
     /**
@@ -275,6 +266,12 @@
         return selectable;
     }
 
+    private List<Listing> readySince(final String upstream, final long fromNanos) {
+        return listings(upstream).stream()
+                .filter(listing -> listing.wasReadySince(fromNanos))
+                .toList();
+    }
+
     private Collection<Listing> listings(final String upstream) {
         return mListings.getOrDefault(upstream, Map.of()).values();
     }
--- a/core/src/main/java/io/persimmonreel/core/stream/StreamVersions.java
+++ b/core/src/main/java/io/persimmonreel/core/stream/StreamVersions.java
@@ -68,7 +68,6 @@
     /** Returns whether a daemon may not be able to tell the version of a stream that begins now. */
     boolean needsOrigin(final String upstream, final long nowNanos) {
         return !mSoftware.isCurrent(nowNanos)
-                || !mSoftware.hasOneVersionSince(
-                        upstream, nowNanos - TYPICAL_LIFE_NANOS - CUT_OFF_LAG_NANOS);
+                || !hasOneVersion(upstream, TYPICAL_LIFE_NANOS, nowNanos);
     }
 }
--- a/core/src/test/java/io/persimmonreel/core/stream/CallerDeadlinesTest.java
+++ b/core/src/test/java/io/persimmonreel/core/stream/CallerDeadlinesTest.java
@@ -7,28 +7,28 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class CallerPatienceTest {
+class CallerDeadlinesTest {
     private static final String ROUTE = "route";
     private static final long TIMEOUT_MILLIS = 12_000;
     private static final long START = TimeUnit.SECONDS.toNanos(100);
     private static final long OBSERVED = START + TimeUnit.SECONDS.toNanos(10);
 
-    private final CallerPatience mPatience = new CallerPatience();
+    private final CallerDeadlines mDeadlines = new CallerDeadlines();
 
     private long age(final long declaredMillis, final long nowNanos) {
-        return mPatience.ageMillis(ROUTE, TIMEOUT_MILLIS, declaredMillis, nowNanos);
+        return mDeadlines.ageMillis(ROUTE, TIMEOUT_MILLIS, declaredMillis, nowNanos);
     }
 
     @Nested
     class WithoutRequests {
         @Test
-        void assumesATypicalPatience() {
+        void assumesATypicalDeadline() {
             assertThat(age(5_000, START)).isEqualTo(10_000);
         }
 
         @Test
         void assumesTheTimeoutOfTheRouteIfThatIsLonger() {
-            assertThat(mPatience.ageMillis(ROUTE, 60_000, 5_000, START)).isEqualTo(55_000);
+            assertThat(mDeadlines.ageMillis(ROUTE, 60_000, 5_000, START)).isEqualTo(55_000);
         }
     }
 
@@ -36,14 +36,14 @@
     class WithRequests {
         @BeforeEach
         void receive() {
-            mPatience.onRequest(ROUTE, 2_000, START);
-            mPatience.onRequest(ROUTE, 9_000, START);
-            mPatience.onRequest(ROUTE, -1, START);
+            mDeadlines.onRequest(ROUTE, 2_000, START);
+            mDeadlines.onRequest(ROUTE, 9_000, START);
+            mDeadlines.onRequest(ROUTE, -1, START);
         }
 
         /** Guards against an age that is too short while only late attempts were seen. */
         @Test
-        void assumesATypicalPatienceAtFirst() {
+        void assumesATypicalDeadlineAtFirst() {
             assertThat(age(5_000, OBSERVED - 1)).isEqualTo(10_000);
         }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/StreamTakeUps.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/StreamTakeUps.java
@@ -9,7 +9,7 @@
 import io.persimmonreel.core.replica.VersionBinding;
 import io.persimmonreel.core.route.ResendRule;
 import io.persimmonreel.core.route.Route;
-import io.persimmonreel.core.stream.CallerPatience;
+import io.persimmonreel.core.stream.CallerDeadlines;
 import io.persimmonreel.core.stream.PastReplica;
 import io.persimmonreel.core.stream.SoftwareVersions;
 import io.persimmonreel.core.stream.StreamExchange;
@@ -38,7 +38,7 @@
     private final Consumer<RelayCall> mAdmission;
     private final ReplicaRegistry mReplicas;
     private final StreamVersions mVersions = new StreamVersions();
-    private final CallerPatience mPatience = new CallerPatience();
+    private final CallerDeadlines mDeadlines = new CallerDeadlines();
     private StreamExchange<RelayCall> mExchange;
 
     /**
@@ -80,12 +80,12 @@
             mAdmission.accept(call);
             return;
         }
-        mPatience.onRequest(route.name(), headers.deadlineMillis(), now);
+        mDeadlines.onRequest(route.name(), headers.deadlineMillis(), now);
         if (headers.resumeAfter() == null) {
             mAdmission.accept(call);
         } else {
             final long ageMillis =
-                    mPatience.ageMillis(
+                    mDeadlines.ageMillis(
                             route.name(), route.timeoutMillis(), headers.deadlineMillis(), now);
             mExchange.begin(call, call.task().upstream(), headers.resumes(), ageMillis, now);
         }
