Close the listening socket before the last look for requests at a planned stop

Callers saw (LOST): a daemon got SIGTERM, connections that a load balancer still opened to it were closed without a response, and replicas had run their charges.

Cause: 2.5 s after SIGTERM the daemon looked whether a request or connection was left, and if not, ended. Its listening socket stayed open until the event loops were closed by another thread, so that requests were accepted and dispatched after the check and cut off with the event loop.

Evidence: the logs end with "stopped", "unfinished":0, and don't contain the ids that were lost. RelayShutdownTest.AfterTheLastRequest sends a charge when the thread that stops the relay writes that line; before, the replica ran the charge and the caller got no whole response.

Change: core.shutdown.ShutdownSequence orders the steps of a shutdown: linger, close the listening socket, finish what was accepted, end. The end follows a check after the close of the socket, so that nothing can arrive in between. DrainableServerChannel accepts the connections in the queue of the operating system before it closes the socket. At the end of the grace time, requests that have arrived in part are refused with 503. The log has daemon listener-closed.

Messages between daemons and settings are unchanged.

--- a/daemon/src/main/java/io/persimmonreel/daemon/connect/package-info.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/connect/package-info.java
@@ -1,2 +1,5 @@
-/** Outgoing connections, and the number of descriptors that are there for connections. */
+/**
+ * Outgoing connections, the listening socket for callers, and the number of descriptors that are
+ * there for connections.
+ */
 package io.persimmonreel.daemon.connect;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/CallerConnection.java
@@ -178,6 +178,21 @@
         }
     }
 
+    /**
+     * Ends the connection unless a request waits for its response or a response is being sent;
+     * called at the end of the process.
+     */
+    void closeUnanswered() {
+        if (mCurrentRequest != null || !isResponseSent()) {
+            return;
+        }
+        if (mIncomingRequest != null || mHasReceivedBytes) {
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the daemon ends");
+        } else {
+            mChannel.close();
+        }
+    }
+
     /** Returns whether no request or response is in progress. */
     boolean isIdle() {
         return mCurrentRequest == null
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayDaemon.java
@@ -10,6 +10,9 @@
 import io.persimmonreel.core.quota.QuotaLife;
 import io.persimmonreel.core.request.Step;
 import io.persimmonreel.core.retry.RetryBudget;
+import io.persimmonreel.core.shutdown.CloseReason;
+import io.persimmonreel.core.shutdown.ShutdownActions;
+import io.persimmonreel.core.shutdown.ShutdownSequence;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.core.time.TimerService;
 import io.persimmonreel.daemon.DaemonException;
@@ -109,10 +112,44 @@
     private final CountDownLatch mStopped = new CountDownLatch(1);
     private volatile boolean mShuttingDown;
     private boolean mActiveTicking;
-    private long mShutdownNanos;
+    private ShutdownSequence mShutdown;
     private InetSocketAddress mCallerAddress;
     private InetSocketAddress mReadinessAddress;
 
+    /** Applies the steps of a shutdown to the server and to the requests in progress. */
+    private final class Shutdown implements ShutdownActions {
+        @Override
+        public void closeIdleConnections() {
+            mServer.closeIdle();
+        }
+
+        @Override
+        public void stopListening(final CloseReason reason) {
+            mServer.stopListening(reason);
+        }
+
+        @Override
+        public boolean isListening() {
+            return mServer.isListening();
+        }
+
+        @Override
+        public boolean isBusy() {
+            return mService.active() > 0 || mServer.connectionCount() > 0;
+        }
+
+        @Override
+        public void failRemaining() {
+            mService.abortAll();
+            mServer.closeUnanswered();
+        }
+
+        @Override
+        public void end() {
+            mStopped.countDown();
+        }
+    }
+
     /** Creates the directory source on the event loop of a relay. */
     @FunctionalInterface
     public interface SourceFactory {
@@ -295,8 +332,8 @@
     }
 
     /**
-     * Stops the relay gracefully: it stops being ready, finishes the requests in progress and
-     * closes its connections.
+     * Stops the relay gracefully: it stops being ready, finishes the requests in progress, closes
+     * its listening socket and serves what arrived until then.
      *
      * @throws InterruptedException if the calling thread is interrupted
      */
@@ -308,7 +345,7 @@
         // The timer that ends the remaining requests may be late on a busy host. Closing the event
         // loop before would cut them off without a response.
         mGroup.next()
-                .submit(mService::abortAll)
+                .submit(() -> mShutdown.failRemaining())
                 .await(graceNanos(1 - GRACE_MARGIN_SHARE / 4), TimeUnit.NANOSECONDS);
         close();
     }
@@ -415,15 +452,15 @@
             return;
         }
         mShuttingDown = true;
-        mShutdownNanos = mTime.monotonicNanos();
+        final long now = mTime.monotonicNanos();
+        final ShutdownTimes times =
+                new ShutdownTimes(now + SHUTDOWN_LINGER.toNanos(), now + requestGraceNanos());
+        mShutdown = new ShutdownSequence(times, new Shutdown());
         mLog.event("daemon", "leaving").put("active", mService.active()).write();
-        mService.beginShutdown(
-                new ShutdownTimes(
-                        mShutdownNanos + SHUTDOWN_LINGER.toNanos(),
-                        mShutdownNanos + requestGraceNanos()));
+        mService.beginShutdown(times);
         mServer.beginShutdown();
         mPeers.beginShutdown();
-        mTimers.every("leave", SHUTDOWN_CHECK_INTERVAL, this::checkShutdown);
+        mTimers.every("leave", SHUTDOWN_CHECK_INTERVAL, mShutdown::onTimer);
     }
 
     /** Returns the part of the grace time in which requests may still run, in nanoseconds. */
@@ -435,18 +472,4 @@
     private long graceNanos(final double withoutShare) {
         return (long) (mSettings.grace().toNanos() * (1.0 - withoutShare));
     }
-
-    private void checkShutdown(final long nowNanos) {
-        final long since = nowNanos - mShutdownNanos;
-        if (since >= SHUTDOWN_LINGER.toNanos()) {
-            mServer.closeIdle();
-            if (mService.active() == 0 && mServer.connectionCount() == 0) {
-                mStopped.countDown();
-            }
-        }
-        if (since >= requestGraceNanos()) {
-            mService.abortAll();
-            mStopped.countDown();
-        }
-    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayServer.java
@@ -7,13 +7,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.persimmonreel.core.route.CallerLimits;
+import io.persimmonreel.core.shutdown.CloseReason;
 import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.daemon.connect.DescriptorLimit;
+import io.persimmonreel.daemon.connect.DrainableServerChannel;
 import io.persimmonreel.daemon.log.EventLog;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -59,6 +60,7 @@
     private final int mMaximumConnections;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private CallerListener mListener;
+    private volatile DrainableServerChannel mServerChannel;
     private boolean mShuttingDown;
 
     RelayServer(
@@ -101,13 +103,14 @@
         final ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(group)
-                        .channel(NioServerSocketChannel.class)
+                        .channel(DrainableServerChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(initializer(listener));
         try {
             final Channel server = bootstrap.bind(address).syncUninterruptibly().channel();
+            mServerChannel = (DrainableServerChannel) server;
             return (InetSocketAddress) server.localAddress();
         } catch (final Exception e) {
             throw new IOException("relay: can't listen on " + address, e);
@@ -179,6 +182,22 @@
                 .forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Closes the listening socket once the connections in its queue are accepted. */
+    void stopListening(final CloseReason reason) {
+        if (isListening()) {
+            mServerChannel.drainAndClose(accepted -> onListenerClosed(reason, accepted));
+        }
+    }
+
+    boolean isListening() {
+        return mServerChannel != null && mServerChannel.isOpen();
+    }
+
+    /** Refuses the requests that have not arrived completely, and closes all idle connections. */
+    void closeUnanswered() {
+        List.copyOf(mConnections).forEach(CallerConnection::closeUnanswered);
+    }
+
     /** Ends the connections that exceed a time limit. */
     void closeTimedOut(final long nowNanos) {
         final CallerLimits limits = mLimits.get();
@@ -212,6 +231,14 @@
         mConnections.remove(connection);
     }
 
+    private void onListenerClosed(final CloseReason reason, final int accepted) {
+        mLog.event("daemon", "listener-closed")
+                .put("reason", reason.label())
+                .put("accepted_last", accepted)
+                .put("connections", mConnections.size())
+                .write();
+    }
+
     void onUnexpectedError(final Throwable cause) {
         mLog.event("caller", "error").put("error", String.valueOf(cause)).write();
     }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -11,6 +11,7 @@
 import io.persimmonreel.core.route.ResendRule;
 import io.persimmonreel.core.route.Route;
 import io.persimmonreel.core.route.RouteTable;
+import io.persimmonreel.core.time.TimeSource;
 import io.persimmonreel.core.warmup.WarmUpBound;
 import io.persimmonreel.daemon.directory.DirectoryException;
 import io.persimmonreel.daemon.directory.DirectoryFormat;
@@ -84,6 +85,17 @@
             final RelayDialect dialect,
             final Optional<WarmUpBound> warmUpBound)
             throws Exception {
+        this(replicas, grace, configuration, dialect, warmUpBound, new SystemTimeSource());
+    }
+
+    RelayFixture(
+            final int replicas,
+            final Duration grace,
+            final RelayConfiguration configuration,
+            final RelayDialect dialect,
+            final Optional<WarmUpBound> warmUpBound,
+            final TimeSource time)
+            throws Exception {
         mConfiguration = configuration;
         mDocuments.add(document("config", ""));
         for (int i = 0; i < replicas; i++) {
@@ -91,7 +103,6 @@
             mReplicas.add(replica);
             mDocuments.add(document("replica/r" + i, "127.0.0.1:" + replica.port()));
         }
-        final SystemTimeSource time = new SystemTimeSource();
         mSettings = settings(grace, warmUpBound);
         mDaemon =
                 new RelayDaemon(
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayShutdownTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayShutdownTest.java
@@ -139,6 +139,38 @@
         }
     }
 
+    @Nested
+    class AfterTheLastRequest {
+        /** Guards against a charge that a replica runs and whose caller gets no response. */
+        @Test
+        void cutsOffNoRequestThatArrivesAtTheEndOfTheProcess() throws Exception {
+            final LateCaller caller = new LateCaller();
+            try (RelayFixture relay =
+                    new RelayFixture(
+                            1,
+                            Duration.ofSeconds(8),
+                            RelayFixture.configuration(1, 2, 0),
+                            new NativeDialect(),
+                            Optional.empty(),
+                            caller)) {
+                relay.replica(0)
+                        .addScript(
+                                e -> {
+                                    caller.onReceived();
+                                    TimeUnit.MILLISECONDS.sleep(LateCaller.RUN_MILLIS);
+                                    respond(e, 200, "whole");
+                                });
+                final Thread stopping = stop(relay);
+                caller.sendBeforeTheEnd(relay, stopping);
+                stopping.join();
+                final String response = caller.response();
+                if (!response.endsWith("whole")) {
+                    assertThat(runCount(relay, 1)).as("runs of: %s", response).isZero();
+                }
+            }
+        }
+    }
+
     @Nested
     class AtTheEndOfTheGraceTime {
         /** Callers repeat a charge after 503, so a charge that a replica runs must not get it. */
