Refuse requests that wait for a configuration when the process ends

Found on the paths related to the planned stop.

Cause: RelayService.abortAll ended the accepted requests only; held ones are still in PreConfigurationQueue.

The test and all Relay* tests pass.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -258,14 +258,7 @@
         for (final RelayCall call : mCalls.snapshot()) {
             runFor(call, "timer", () -> checkTime(call, nowNanos));
         }
-        runForEach(
-                mPreConfigurationQueue.takeOverdue(nowNanos),
-                request ->
-                        refuse(
-                                request,
-                                HttpResponseStatus.SERVICE_UNAVAILABLE,
-                                "no configuration is known",
-                                NO_CONFIGURATION_RETRY_AFTER_MILLIS));
+        refuseUnconfigured(mPreConfigurationQueue.takeOverdue(nowNanos));
         mQuota.onTimer(nowNanos);
         mTakeUps.onTimer(nowNanos);
         mScheduler.placeAll();
@@ -334,6 +327,18 @@
                     "stop",
                     () -> fail(call, HttpResponseStatus.BAD_GATEWAY, "the daemon ends"));
         }
+        refuseUnconfigured(mPreConfigurationQueue.takeAll());
+    }
+
+    private void refuseUnconfigured(final Collection<CallerRequest> requests) {
+        runForEach(
+                requests,
+                request ->
+                        refuse(
+                                request,
+                                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                "no configuration is known",
+                                NO_CONFIGURATION_RETRY_AFTER_MILLIS));
     }
 
     /** Responds to a request without sending it to a replica. */
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayFixture.java
@@ -88,6 +88,11 @@
         this(replicas, grace, configuration, dialect, warmUpBound, new SystemTimeSource());
     }
 
+    /**
+     * Starts a relay.
+     *
+     * @param configuration the configuration, or null if the directory has none
+     */
     RelayFixture(
             final int replicas,
             final Duration grace,
@@ -97,7 +102,9 @@
             final TimeSource time)
             throws Exception {
         mConfiguration = configuration;
-        mDocuments.add(document("config", ""));
+        if (configuration != null) {
+            mDocuments.add(document("config", ""));
+        }
         for (int i = 0; i < replicas; i++) {
             final ScriptedUpstream replica = new ScriptedUpstream(true);
             mReplicas.add(replica);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayShutdownTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/RelayShutdownTest.java
@@ -173,6 +173,29 @@
 
     @Nested
     class AtTheEndOfTheGraceTime {
+        /** Guards against a connection that is closed instead of a refusal. */
+        @Test
+        void refusesRequestsThatWaitForTheFirstConfiguration() throws Exception {
+            final StoppableClock clock = new StoppableClock();
+            try (RelayFixture relay =
+                            new RelayFixture(
+                                    0,
+                                    Duration.ofMillis(500),
+                                    null,
+                                    new NativeDialect(),
+                                    Optional.empty(),
+                                    clock);
+                    Socket caller = relay.connect()) {
+                // Otherwise the request is refused after a short time, before the process ends.
+                clock.stop();
+                RelayFixture.send(caller, "POST", "/charge/1", ATTEMPT_HEADER, "x");
+                final Thread stopping = stop(relay);
+                assertThat(new String(caller.getInputStream().readAllBytes()))
+                        .startsWith("HTTP/1.1 503");
+                stopping.join();
+            }
+        }
+
         /** Callers repeat a charge after 503, so a charge that a replica runs must not get it. */
         @Test
         void doesNotPromiseNotRunForARequestAtAReplica() throws Exception {
