Skip messages of other daemons whose type is not known

While hosts are replaced one after the other, daemons of two builds run side by side.

Cause: PeerCodec.decode took an unknown type for a broken frame.

The message is counted as UnknownMessage, and the log has one line a connection. Before the handshake is complete it still ends the connection.

--- a/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerConnection.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/peer/PeerConnection.java
@@ -21,6 +21,7 @@
     private final Handshake mHandshake;
     private volatile ChannelHandlerContext mContext;
     private volatile PeerIdentity mPeer;
+    private boolean mHasSkipped;
 
     PeerConnection(
             final PeerTransport transport, final PeerCodec codec, final Handshake handshake) {
@@ -145,11 +146,26 @@
         } else if (message instanceof Proof proof) {
             mPeer = mHandshake.onProof(proof);
             mTransport.onAuthenticated(this);
-        } else if (mHandshake.isAuthenticated()) {
-            mTransport.onMessage(this, (PeerMessage) message);
-        } else {
+        } else if (!mHandshake.isAuthenticated()) {
             throw new PeerException(
                     Step.AUTHENTICATE, "peer", "message received before authentication", null);
+        } else if (message instanceof UnknownMessage unknown) {
+            skip(unknown);
+        } else {
+            mTransport.onMessage(this, (PeerMessage) message);
+        }
+    }
+
+    private void skip(final UnknownMessage message) {
+        if (!mHasSkipped) {
+            mHasSkipped = true;
+            LOG.log(
+                    Level.WARNING,
+                    "peer: Messages of unknown types from slot "
+                            + mPeer.slot()
+                            + " are skipped, the first has type "
+                            + message.type()
+                            + ". Its build is newer.");
         }
     }
 }
