Log and count refusals by size and cause

Cause: the line "request refused" had neither the size nor the predicted times of a request, and no cause of a refusal for a quota, so that logs could not tell which sizes are refused, and for what. On-call could not distinguish a large request that finds too few units of its quota from one whose forecast does not fit the caller's time.

Change: RefusalLog (daemon.refusal) logs units, prompt, output, rank, time waited and left; for a quota the cause of the refused claim and the units that other claims wait for; for a queued request whether it was deferred, its forecast and that of its slot. persimmonreel_relay_refusals_total counts refusals by cause and size. Lines of the quarantine move to QuarantineLog.

The decisions are the same as before.

--- a/core/src/main/java/io/persimmonreel/core/admission/OverloadOrder.java
+++ b/core/src/main/java/io/persimmonreel/core/admission/OverloadOrder.java
@@ -73,9 +73,9 @@
      *
      * @param <T> the type of the requests
      * @param requests the requests in the order in which they should be placed
-     * @param deferred the number of requests that are placed later than by the soonest start
+     * @param deferred the requests that are placed later than by the soonest start, by identity
      */
-    public record Arrangement<T>(List<T> requests, int deferred) {}
+    public record Arrangement<T>(List<T> requests, Set<T> deferred) {}
 
     /**
      * Sorts requests by the soonest start.
@@ -120,7 +120,7 @@
         deferred.forEach(candidate -> requests.add(candidate.request()));
         soonest.subList(next, soonest.size())
                 .forEach(candidate -> requests.add(candidate.request()));
-        return new Arrangement<>(requests, deferred.size());
+        return new Arrangement<>(requests, isDeferred);
     }
 
     /** Returns the requests that can't all be on time, those worth most first. */
--- a/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.core.quota;
 
+import io.persimmonreel.core.quota.ClaimRefusal.Cause;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -159,7 +160,11 @@
             return;
         }
         if (!isPatient && nowNanos - mShortUntilNanos < 0) {
-            claim.listener().onRefused(TimeUnit.NANOSECONDS.toMillis(mShortUntilNanos - nowNanos));
+            claim.listener()
+                    .onRefused(
+                            new ClaimRefusal(
+                                    Cause.COLLECTOR_REFUSED_LATELY,
+                                    TimeUnit.NANOSECONDS.toMillis(mShortUntilNanos - nowNanos)));
             return;
         }
         claim.setNumber(
@@ -168,8 +173,10 @@
                         claim.units(),
                         new QuotaClaim.Kind(
                                 isPatient, claim.kind().minimumLifeNanos() + USEFUL_LIFE_NANOS)));
-        if (claim.number() == 0 && !isWorthWaiting(claim, inflowShare)) {
-            claim.listener().onRefused(waitMillis(claim.units(), inflowShare, nowNanos));
+        final Optional<Cause> hindrance =
+                claim.number() == 0 ? hindrance(claim, inflowShare) : Optional.empty();
+        if (hindrance.isPresent()) {
+            refuse(claim, hindrance.get(), waitMillis(claim.units(), inflowShare, nowNanos));
             return;
         }
         claim.setDeadline(
@@ -205,7 +212,7 @@
         for (final QuotaClaim claim : List.copyOf(mClaims)) {
             if (claim.number() == number) {
                 mClaims.remove(claim);
-                refuse(claim, waitMillis);
+                refuse(claim, Cause.COLLECTOR_REFUSED, waitMillis);
             }
         }
     }
@@ -215,7 +222,7 @@
         for (final QuotaClaim claim : List.copyOf(mClaims)) {
             if (nowNanos - claim.deadlineNanos() >= 0) {
                 mClaims.remove(claim);
-                refuse(claim, waitMillis(claim.units(), inflowShare, nowNanos));
+                refuse(claim, Cause.WAITED, waitMillis(claim.units(), inflowShare, nowNanos));
             }
         }
         final double seconds = (nowNanos - mTickNanos) / NANOS_PER_SECOND;
@@ -282,19 +289,22 @@
     }
 
     /**
-     * Returns whether a claim that only this daemon can serve is likely served soon. The size of
-     * the claim does not count, so that large requests are not refused more often than small ones.
+     * Returns why a claim that only this daemon can serve is not likely served soon, empty if it
+     * is. The size of the claim does not count, so that large requests are not refused more often
+     * than small ones.
      */
-    private boolean isWorthWaiting(final QuotaClaim claim, final double inflowShare) {
+    private Optional<Cause> hindrance(final QuotaClaim claim, final double inflowShare) {
         final double perSecond = mAllowance.ratePerSecond() * inflowShare;
         final double capacity =
                 perSecond * mAllowance.lifeNanos() / NANOS_PER_SECOND * MAXIMUM_CLAIM_SHARE;
         if (claim.units() > capacity) {
-            return false;
+            return Optional.of(Cause.TOO_LARGE);
         }
         final long queued = mClaims.isEmpty() ? 0 : claimedUnits() - mClaims.peek().units();
         return claim.kind().isPatient()
-                || queued <= perSecond * MAXIMUM_QUEUE_MILLIS / MILLIS_PER_SECOND;
+                        || queued <= perSecond * MAXIMUM_QUEUE_MILLIS / MILLIS_PER_SECOND
+                ? Optional.empty()
+                : Optional.of(Cause.CLAIMS_BEFORE_IT);
     }
 
     private long holdNanos(final long units, final double inflowShare) {
@@ -309,7 +319,8 @@
         return units / Math.max(1.0, mAllowance.ratePerSecond() * inflowShare);
     }
 
-    private long claimedUnits() {
+    /** Returns the units of the claims that wait. */
+    long claimedUnits() {
         long units = 0;
         for (final QuotaClaim claim : mClaims) {
             units += claim.isCancelled() ? 0 : claim.units();
@@ -317,9 +328,9 @@
         return units;
     }
 
-    private static void refuse(final QuotaClaim claim, final long waitMillis) {
+    private static void refuse(final QuotaClaim claim, final Cause cause, final long waitMillis) {
         if (!claim.isCancelled()) {
-            claim.listener().onRefused(waitMillis);
+            claim.listener().onRefused(new ClaimRefusal(cause, waitMillis));
         }
     }
 }
--- a/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -232,6 +232,7 @@
                                 new QuotaState(
                                         quota.ratePerSecond(),
                                         quota.level(nowNanos),
+                                        quota.claimedUnits(),
                                         mShare,
                                         mInflowShare));
     }
--- a/core/src/main/java/io/persimmonreel/core/quota/QuotaClaim.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/QuotaClaim.java
@@ -35,9 +35,9 @@
         /**
          * Handles a refusal.
          *
-         * @param retryMillis the estimated time until the units are available, in milliseconds
+         * @param refusal the cause, and when to try again
          */
-        void onRefused(long retryMillis);
+        void onRefused(ClaimRefusal refusal);
     }
 
     QuotaClaim(final long units, final Kind kind, final Listener listener) {
--- a/core/src/main/java/io/persimmonreel/core/quota/UnitExchange.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/UnitExchange.java
@@ -279,11 +279,12 @@
         }
 
         @Override
-        public void onRefused(final long retryMillis) {
+        public void onRefused(final ClaimRefusal refusal) {
             final Link link = mLinks.get(mPeer);
             if (link != null) {
                 link.mShortages.add(
-                        new UnitShortage(mClaim.number(), mClaim.customer(), retryMillis));
+                        new UnitShortage(
+                                mClaim.number(), mClaim.customer(), refusal.retryMillis()));
             }
         }
     }
--- a/core/src/test/java/io/persimmonreel/core/admission/OverloadOrderTest.java
+++ b/core/src/test/java/io/persimmonreel/core/admission/OverloadOrderTest.java
@@ -71,7 +71,7 @@
                 final Arrangement<String> arrangement = arrange(1e9, candidates);
                 assertThat(arrangement.requests())
                         .isEqualTo(names(OverloadOrder.bySoonestStart(candidates)));
-                assertThat(arrangement.deferred()).isZero();
+                assertThat(arrangement.deferred()).isEmpty();
             }
         }
 
@@ -82,7 +82,7 @@
             final Arrangement<String> arrangement =
                     OverloadOrder.arrange(
                             OverloadOrder.bySoonestStart(candidates), ahead -> 0, mServed, 0);
-            assertThat(arrangement.deferred()).isZero();
+            assertThat(arrangement.deferred()).isEmpty();
         }
     }
 
@@ -107,7 +107,7 @@
                 final int slots = 1 + mRandom.nextInt(40);
                 final Arrangement<String> arrangement = arrange(slots, candidates);
                 final long late = candidates.stream().filter(c -> c.position().isLate()).count();
-                final long onTime = REQUESTS - late - arrangement.deferred();
+                final long onTime = REQUESTS - late - arrangement.deferred().size();
                 double ahead = 0;
                 for (final String name : arrangement.requests().subList(0, (int) onTime)) {
                     final Candidate<String> candidate =
@@ -176,7 +176,7 @@
                             mServed,
                             0);
             assertThat(arrangement.requests()).containsExactly("first", "second");
-            assertThat(arrangement.deferred()).isEqualTo(1);
+            assertThat(arrangement.deferred()).hasSize(1);
         }
     }
 }
--- a/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/FleetQuotaTest.java
@@ -53,8 +53,8 @@
         }
 
         @Override
-        public void onRefused(final long retryMillis) {
-            mRetryMillis = retryMillis;
+        public void onRefused(final ClaimRefusal refusal) {
+            mRetryMillis = refusal.retryMillis();
         }
     }
 
--- a/core/src/test/java/io/persimmonreel/core/quota/QuotaDaemonModel.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/QuotaDaemonModel.java
@@ -121,7 +121,7 @@
                     }
 
                     @Override
-                    public void onRefused(final long retryMillis) {
+                    public void onRefused(final ClaimRefusal refusal) {
                         mFleet.refuse(request);
                     }
                 },
--- a/core/src/test/java/io/persimmonreel/core/quota/UnitExchangeTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/UnitExchangeTest.java
@@ -163,8 +163,8 @@
                         }
 
                         @Override
-                        public void onRefused(final long retryMillis) {
-                            mRetryMillis = retryMillis;
+                        public void onRefused(final ClaimRefusal refusal) {
+                            mRetryMillis = refusal.retryMillis();
                         }
                     },
                     nowNanos);
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/ContentQuarantine.java
@@ -13,6 +13,7 @@
 import io.persimmonreel.core.quarantine.Quarantine;
 import io.persimmonreel.core.quarantine.QuarantineDecision;
 import io.persimmonreel.core.replica.Replica;
+import io.persimmonreel.daemon.log.QuarantineLog;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -38,7 +39,7 @@
     /** The maximum number of notices on contents that are repeated at a time. */
     private static final int MAXIMUM_REPEATED_NOTICES = 64;
 
-    private final RelayLog mLog;
+    private final QuarantineLog mLog;
     private final Quarantine mQuarantine = new Quarantine();
     private final PartQuarantine mParts;
     private Consumer<PeerMessage> mNoticeConsumer = notice -> {};
@@ -52,7 +53,7 @@
     record Refusal(String reason, long retryAfterMillis) {}
 
     ContentQuarantine(final RelayLog log, final long seed) {
-        mLog = log;
+        mLog = log.quarantine();
         mParts = new PartQuarantine(new SplittableRandom(seed).nextDouble());
     }
 
@@ -113,7 +114,8 @@
         if (mQuarantine.decision(content, nowNanos).kind() != QuarantineDecision.Kind.QUARANTINED) {
             return Optional.empty();
         }
-        mLog.suspectRequest("suspect-refused", call, content.digest());
+        mLog.request(
+                "suspect-refused", call.task().id(), content.digest(), RelayLog.replicaId(call));
         return Optional.of(
                 new Refusal(
                         "requests of this content crashed replicas", CONTENT_RETRY_AFTER_MILLIS));
@@ -151,7 +153,11 @@
             final Fingerprint content = fingerprint(call);
             mQuarantine.onDispatched(content, call.replica().entry().id());
             if (isSuspected(content, nowNanos)) {
-                mLog.suspectRequest("suspect-sent", call, content.digest());
+                mLog.request(
+                        "suspect-sent",
+                        call.task().id(),
+                        content.digest(),
+                        RelayLog.replicaId(call));
             }
         }
         if (decideParts(call, nowNanos).kind() == PartDecision.Kind.TRIAL) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PlacementOrder.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PlacementOrder.java
@@ -7,7 +7,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Orders the waiting requests of each upstream and reports the periods in which not all of them can
@@ -27,6 +29,7 @@
         private long mBegunNanos;
         private long mLastDeferredNanos;
         private int mMostDeferred;
+        private Set<RelayCall> mDeferred = Set.of();
     }
 
     PlacementOrder(final RelayLog log) {
@@ -54,12 +57,21 @@
         final UpstreamState state = state(upstream);
         final Arrangement<WaitingRequest> arrangement =
                 OverloadOrder.arrange(soonest, pass::startMillis, state.mServed, nowNanos);
-        if (arrangement.deferred() > 0) {
+        state.mDeferred =
+                arrangement.deferred().stream()
+                        .map(WaitingRequest::call)
+                        .collect(Collectors.toSet());
+        if (!arrangement.deferred().isEmpty()) {
             onDeferred(upstream, state, arrangement, nowNanos);
         }
         return arrangement.requests();
     }
 
+    /** Returns whether the last pass placed a request later than by the soonest start. */
+    boolean isDeferred(final RelayCall call) {
+        return state(call.task().upstream()).mDeferred.contains(call);
+    }
+
     /** Reports periods that have ended; called regularly, since no pass runs without requests. */
     void onTimer(final long nowNanos) {
         mByUpstream.forEach(
@@ -83,10 +95,11 @@
             state.mIsOverloaded = true;
             state.mBegunNanos = nowNanos;
             state.mMostDeferred = 0;
-            mLog.overloadBegan(upstream, arrangement.requests().size(), arrangement.deferred());
+            mLog.overloadBegan(
+                    upstream, arrangement.requests().size(), arrangement.deferred().size());
         }
         state.mLastDeferredNanos = nowNanos;
-        state.mMostDeferred = Math.max(state.mMostDeferred, arrangement.deferred());
+        state.mMostDeferred = Math.max(state.mMostDeferred, arrangement.deferred().size());
     }
 
     private UpstreamState state(final String upstream) {
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaGate.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/QuotaGate.java
@@ -1,5 +1,6 @@
 package io.persimmonreel.daemon.relay;
 
+import io.persimmonreel.core.quota.ClaimRefusal;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.quota.QuotaClaim;
 import io.persimmonreel.core.quota.QuotaPermit;
@@ -36,7 +37,7 @@
         void onPermitted(RelayCall call);
 
         /** Handles a call that is beyond its customer's quota. */
-        void onQuotaExhausted(RelayCall call, long retryAfterMillis);
+        void onQuotaExhausted(RelayCall call, ClaimRefusal refusal);
     }
 
     /**
@@ -180,11 +181,15 @@
         }
 
         @Override
-        public void onRefused(final long retryMillis) {
+        public void onRefused(final ClaimRefusal refusal) {
             mIsDecided = true;
             mClaims.remove(mCall);
             mUseLog.add(mCall.task().customerName(), QuotaEvent.REFUSED, mCall.task().units());
-            mListener.onQuotaExhausted(mCall, Math.max(MINIMUM_RETRY_AFTER_MILLIS, retryMillis));
+            mListener.onQuotaExhausted(
+                    mCall,
+                    new ClaimRefusal(
+                            refusal.cause(),
+                            Math.max(MINIMUM_RETRY_AFTER_MILLIS, refusal.retryMillis())));
         }
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayLog.java
@@ -2,16 +2,18 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.grant.SlotListener;
-import io.persimmonreel.core.peer.PeerMessage.PartState;
-import io.persimmonreel.core.peer.PeerMessage.QuarantineNotice;
 import io.persimmonreel.core.placement.Placement.Choice;
+import io.persimmonreel.core.quota.ClaimRefusal;
 import io.persimmonreel.core.quota.FleetShare;
 import io.persimmonreel.core.quota.QuotaState;
 import io.persimmonreel.core.ratelimit.AdvertisedRateLimit;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.warmup.ColdReplicaEvent;
 import io.persimmonreel.daemon.log.EventLog;
+import io.persimmonreel.daemon.log.QuarantineLog;
 import io.persimmonreel.daemon.log.ReachabilityLog;
+import io.persimmonreel.daemon.refusal.QueueState;
+import io.persimmonreel.daemon.refusal.RefusalLog;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -26,6 +28,7 @@
     private final RelayMetrics mMetrics;
     private final ExchangeLog mExchangeLog;
     private final QuotaUseLog mQuotaUse;
+    private final RefusalLog mRefusals;
 
     RelayLog(
             final EventLog log,
@@ -36,12 +39,17 @@
         mMetrics = metrics;
         mExchangeLog = exchangeLog;
         mQuotaUse = quotaUse;
+        mRefusals = new RefusalLog(log, metrics.set());
     }
 
     QuotaUseLog quotaUse() {
         return mQuotaUse;
     }
 
+    QuarantineLog quarantine() {
+        return new QuarantineLog(mLog);
+    }
+
     ReachabilityLog reachability() {
         return new ReachabilityLog(mLog);
     }
@@ -52,25 +60,61 @@
             final HttpResponseStatus status,
             final String reason,
             final ConfigurationMonitor.Snapshot configuration,
+            final long retryAfterMillis) {
+        putConfiguration(
+                        mLog.event("request", "refused")
+                                .put("id", request.callerHeaders().attemptId())
+                                .put("status", status.code())
+                                .put("reason", reason),
+                        configuration)
+                .put("return_ms", retryAfterMillis)
+                .write();
+    }
+
+    /** Logs a request that is beyond its customer's quota. */
+    void overQuota(
+            final RelayCall call,
+            final String reason,
+            final ClaimRefusal refusal,
+            final ConfigurationMonitor.Snapshot configuration,
+            final Optional<QuotaState> quota,
+            final long nowNanos) {
+        mMetrics.onEnded(call.task().upstream(), call.task().rank(), "refused");
+        putConfiguration(
+                        mRefusals.overQuota(
+                                call.task().refused(nowNanos),
+                                HttpResponseStatus.TOO_MANY_REQUESTS.code(),
+                                reason,
+                                refusal,
+                                quota),
+                        configuration)
+                .write();
+    }
+
+    /** Logs a queued request that was refused because no replica can serve it in time. */
+    void refusedWhileQueued(
+            final RelayCall call,
+            final String reason,
+            final QueueState queue,
+            final Choice best,
             final long retryAfterMillis,
-            final Optional<QuotaState> quota) {
-        final EventLog.Line line =
-                mLog.event("request", "refused")
-                        .put("id", request.callerHeaders().attemptId())
-                        .put("status", status.code())
-                        .put("reason", reason)
-                        .put("version", configuration.version())
-                        .put("version_age_ms", configuration.ageMillis())
-                        .put("directory_silent_ms", configuration.directorySilentMillis())
-                        .put("peer_version", configuration.newestPeerVersion())
-                        .put("return_ms", retryAfterMillis);
-        quota.ifPresent(
-                state ->
-                        line.put("rate_per_s", Math.round(state.ratePerSecond()))
-                                .put("level", state.level())
-                                .put("share_percent", Math.round(state.share() * 100))
-                                .put("reachable_percent", Math.round(state.inflowShare() * 100)));
-        line.write();
+            final long nowNanos) {
+        mMetrics.onEnded(call.task().upstream(), call.task().rank(), "refused");
+        mRefusals.queued(
+                call.task().refused(nowNanos),
+                HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+                reason,
+                queue,
+                best,
+                retryAfterMillis);
+    }
+
+    private static EventLog.Line putConfiguration(
+            final EventLog.Line line, final ConfigurationMonitor.Snapshot configuration) {
+        return line.put("version", configuration.version())
+                .put("version_age_ms", configuration.ageMillis())
+                .put("directory_silent_ms", configuration.directorySilentMillis())
+                .put("peer_version", configuration.newestPeerVersion());
     }
 
     /** Logs the share of this daemon in the quotas of customers after a change. */
@@ -99,28 +143,6 @@
         }
     }
 
-    /** Logs a queued request that was refused because no replica can serve it in time. */
-    void refusedWhileQueued(
-            final RelayCall call,
-            final String reason,
-            final Choice best,
-            final long retryAfterMillis) {
-        mMetrics.onEnded(call.task().upstream(), call.task().rank(), "refused");
-        final EventLog.Line line =
-                mLog.event("request", "refused")
-                        .put("id", call.task().id())
-                        .put("route", call.task().route().name())
-                        .put("status", HttpResponseStatus.SERVICE_UNAVAILABLE.code())
-                        .put("reason", reason);
-        if (best != null) {
-            line.put("best", best.replica().entry().id())
-                    .put("load", Math.round(best.load()))
-                    .put("withheld", Math.round(best.withheld()))
-                    .put("wait_ms", Math.round(best.waitMillis()));
-        }
-        line.put("return_ms", retryAfterMillis).write();
-    }
-
     void sent(
             final RelayCall call, final Choice choice, final int candidates, final long nowNanos) {
         mMetrics.onSent(
@@ -351,38 +373,6 @@
                 .write();
     }
 
-    /** Logs what is known against the content of requests. */
-    void content(final String event, final QuarantineNotice notice) {
-        mLog.event("quarantine", event)
-                .put("upstream", notice.service())
-                .put("digest", notice.digest())
-                .put("replicas", notice.replicas().size())
-                .put("stopped", notice.quarantined())
-                .put("age_ms", notice.ageMillis())
-                .write();
-    }
-
-    /** Logs a request whose content is under suspicion. */
-    void suspectRequest(final String event, final RelayCall call, final String digest) {
-        mLog.event("quarantine", event)
-                .put("id", call.task().id())
-                .put("digest", digest)
-                .put("replica", replicaId(call))
-                .write();
-    }
-
-    /** Logs a part of prompts that came under suspicion, was refused, tried or cleared. */
-    void promptPart(final String event, final PartState state) {
-        mLog.event("quarantine", event)
-                .put("upstream", state.service())
-                .put("prompt_part", Long.toHexString(state.part()))
-                .put("crashes", state.crashes())
-                .put("age_ms", state.ageMillis())
-                .put("trial_ms", state.trialMillis())
-                .put("rivals", state.rivals().size())
-                .write();
-    }
-
     /** Logs that a replica advertises another rate limit than before, or none any more. */
     void rateLimit(final Replica replica, final double share, final String source) {
         final boolean stated = replica.rateLimit().isStated();
@@ -487,7 +477,8 @@
         return call.dispatch() == null ? null : call.dispatch().exchange();
     }
 
-    private static String replicaId(final RelayCall call) {
+    /** Returns the id of the last replica, null if there was none. */
+    static String replicaId(final RelayCall call) {
         return call.replica() == null ? null : call.replica().entry().id();
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -20,6 +20,7 @@
 import io.persimmonreel.core.placement.UpstreamCapacity;
 import io.persimmonreel.core.replica.Replica;
 import io.persimmonreel.core.replica.ReplicaRegistry;
+import io.persimmonreel.daemon.refusal.QueueState;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -122,8 +123,7 @@
         mOrder.onQueued(call, mService.nowNanos());
         Optional<WaitingRequest> last = mQueue.excess(mService.nowNanos());
         while (last.isPresent()) {
-            final RelayCall lastCall = last.get().call();
-            refuse(lastCall, "too many requests wait", null, placeAtEnd(lastCall));
+            refuse(last.get(), "too many requests wait", null, placeAtEnd(last.get().call()));
             last = mQueue.excess(mService.nowNanos());
         }
         requestPass(call.task().upstream());
@@ -222,10 +222,11 @@
     private long retryAfterMillis(final RelayCall call, final PlaceForecast place) {
         final long now = mService.nowNanos();
         final String upstream = call.task().upstream();
-        final boolean isEvacuated = mReplicas.awaitsEvacuationEnd(upstream, now);
         return mReturns.computeIfAbsent(upstream, name -> new ReturnSchedule())
                 .delayMillis(
-                        isEvacuated ? PlaceForecast.INDEFINITE : place,
+                        mReplicas.awaitsEvacuationEnd(upstream, now)
+                                ? PlaceForecast.INDEFINITE
+                                : place,
                         call.task().millisLeft(now),
                         now);
     }
@@ -285,7 +286,7 @@
             return onNoReplica(waiting, now);
         }
         if (chosen.isPresent() && isLeavingBeforeEnd(call, chosen.get(), now)) {
-            refuse(call, "the daemon is leaving", chosen.get(), SHUTDOWN_RETRY_AFTER_MILLIS);
+            refuse(call, "the daemon is leaving", chosen.get(), null, SHUTDOWN_RETRY_AFTER_MILLIS);
             return true;
         }
         if (granted.isPresent()) {
@@ -383,7 +384,7 @@
             final String reason) {
         final RelayCall call = request.call();
         if (call.canBeRefused()) {
-            refuse(call, reason, best, place);
+            refuse(request, reason, best, place);
             return true;
         }
         if (place.waitMillis() < call.task().millisLeft(mService.nowNanos())) {
@@ -446,7 +447,7 @@
         if (!call.canBeRefused()) {
             mService.fail(call, HttpResponseStatus.BAD_GATEWAY, refusal.reason());
         } else {
-            refuse(call, refusal.reason(), null, refusal.retryAfterMillis());
+            refuse(call, refusal.reason(), null, null, refusal.retryAfterMillis());
         }
     }
 
@@ -470,24 +471,27 @@
                 isVersionGone
                         ? "no replica has the stream's version"
                         : mService.replicaObserver().refusalReason(call, "no replica can be used");
-        refuse(call, reason, null, PlaceForecast.UNKNOWN);
+        refuse(request, reason, null, PlaceForecast.UNKNOWN);
         return true;
     }
 
     private void refuse(
-            final RelayCall call,
+            final WaitingRequest request,
             final String reason,
             final Choice best,
             final PlaceForecast place) {
-        refuse(call, reason, best, retryAfterMillis(call, place));
+        final RelayCall call = request.call();
+        final QueueState queue = new QueueState(mOrder.isDeferred(call), request.run(), place);
+        refuse(call, reason, best, queue, retryAfterMillis(call, place));
     }
 
     private void refuse(
             final RelayCall call,
             final String reason,
             final Choice best,
+            final QueueState queue,
             final long retryAfterMillis) {
-        mLog.refusedWhileQueued(call, reason, best, retryAfterMillis);
+        mLog.refusedWhileQueued(call, reason, queue, best, retryAfterMillis, mService.nowNanos());
         call.fail(HttpResponseStatus.BAD_GATEWAY, reason, retryAfterMillis);
     }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayService.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.persimmonreel.core.admission.ShutdownTimes;
 import io.persimmonreel.core.placement.SlotShares;
+import io.persimmonreel.core.quota.ClaimRefusal;
 import io.persimmonreel.core.quota.FleetQuota;
 import io.persimmonreel.core.ratelimit.RateShares;
 import io.persimmonreel.core.replica.Replica;
@@ -423,20 +424,20 @@
     }
 
     @Override
-    public void onQuotaExhausted(final RelayCall call, final long retryAfterMillis) {
+    public void onQuotaExhausted(final RelayCall call, final ClaimRefusal refusal) {
         final String reason = "the quota of " + call.task().customerName() + " is used up";
         if (!call.canBeRefused()) {
             fail(call, HttpResponseStatus.BAD_GATEWAY, reason);
             return;
         }
-        mLog.refusedOnArrival(
-                call.task().request(),
-                HttpResponseStatus.TOO_MANY_REQUESTS,
+        mLog.overQuota(
+                call,
                 reason,
+                refusal,
                 mConfigurationMonitor.snapshot(nowNanos()),
-                retryAfterMillis,
-                mQuotaGate.state(call));
-        call.endWithError(HttpResponseStatus.TOO_MANY_REQUESTS, reason, retryAfterMillis);
+                mQuotaGate.state(call),
+                nowNanos());
+        call.endWithError(HttpResponseStatus.TOO_MANY_REQUESTS, reason, refusal.retryMillis());
     }
 
     private void accept(final RelayCall call) {
@@ -465,8 +466,7 @@
                 status,
                 reason,
                 mConfigurationMonitor.snapshot(nowNanos()),
-                retryAfterMillis,
-                Optional.empty());
+                retryAfterMillis);
         respond(request, status, reason, retryAfterMillis);
     }
 
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayTask.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayTask.java
@@ -7,6 +7,7 @@
 import io.persimmonreel.core.placement.WorkSize;
 import io.persimmonreel.core.route.RelayCustomer;
 import io.persimmonreel.core.route.Route;
+import io.persimmonreel.daemon.refusal.RefusedRequest;
 
 /**
  * Holds an accepted request with its route, upstream, customer, work and deadline.
@@ -68,6 +69,22 @@
                 millisLeft);
     }
 
+    /** Describes the request for a refusal. */
+    RefusedRequest refused(final long nowNanos) {
+        return new RefusedRequest(
+                id(),
+                route.name(),
+                upstream,
+                customerName(),
+                rank(),
+                units,
+                work.promptTokens(),
+                work.outputTokens(),
+                waitedMillis(nowNanos),
+                timeLeft(nowNanos).objectiveMillis(),
+                millisLeft(nowNanos));
+    }
+
     /** Predicts how long the response takes at the chosen replica. */
     ResponseForecast forecast(final Choice choice) {
         final int expectedTokens = work.outputTokens();
