Grant units of a quota by arrival across the fleet in a shortage

Callers saw: of a customer beyond its quota, large requests were refused far more often than small ones.

Cause: a share of a customer's units accrues at each daemon, and requests that are small enough for it took it there. Only the rest went to the collector, the only place where a large claim finds enough. Hubs spent the unused units of their leaves in the same way.

Change: for 1 s after a refusal, units that accrue at a daemon, and those that its leaves don't use, are left to the collector, which grants claims in order of arrival. Their customers come first when units are sent, since they would expire behind those of many others. Messages are the same.

--- a/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
@@ -20,6 +20,9 @@
     /** The time for which claims are not sent on after a peer refused one, in nanoseconds. */
     private static final long SHORTAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
+    /** The time after a refusal for which units that accrue here are left to the collector. */
+    private static final long POOLING_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** The shortest and the longest time for which a claim waits, in nanoseconds. */
     private static final long MINIMUM_HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -51,12 +54,18 @@
 
     private final String mName;
     private final UnitStock mStock = new UnitStock();
+
+    /** The units that accrued here during a shortage, which the collector grants to claims. */
+    private final UnitStock mPooled = new UnitStock();
+
     private final Deque<QuotaClaim> mClaims = new ArrayDeque<>();
     private Allowance mAllowance;
     private long mEpoch;
     private long mAccruedNanos;
     private double mFraction;
     private long mShortUntilNanos;
+    private long mPoolUntilNanos;
+    private boolean mHasCollector;
     private long mUsedSinceTick;
     private long mTickNanos;
     private double mUsePerSecond;
@@ -66,6 +75,7 @@
         mAllowance = allowance;
         mAccruedNanos = nowNanos;
         mShortUntilNanos = nowNanos;
+        mPoolUntilNanos = nowNanos;
         mTickNanos = nowNanos;
     }
 
@@ -83,6 +93,7 @@
             final double share =
                     isUnlimited() ? 0 : allowance.ratePerSecond() / mAllowance.ratePerSecond();
             mStock.reduce(share, nowNanos + allowance.lifeNanos());
+            mPooled.reduce(share, nowNanos + allowance.lifeNanos());
             mEpoch++;
         }
         mAllowance = allowance;
@@ -91,6 +102,7 @@
     /** Drops all units, whose age is not known any more. */
     void clear(final long nowNanos) {
         mStock.clear();
+        mPooled.clear();
         mEpoch++;
         mAccruedNanos = nowNanos;
     }
@@ -103,25 +115,30 @@
         if (share <= 0 || isUnlimited()) {
             return;
         }
+        if (!isPooled(nowNanos)) {
+            mStock.addAll(mPooled.takeBeyond(0, 0, nowNanos));
+        }
+        final UnitStock stock = isPooled(nowNanos) ? mPooled : mStock;
         while (from < nowNanos) {
             final long to = Math.min(nowNanos, from + UnitStock.SLOT_NANOS);
             final double units =
                     mFraction + mAllowance.ratePerSecond() * share * (to - from) / NANOS_PER_SECOND;
-            mStock.add((long) units, from + life);
+            stock.add((long) units, from + life);
             mFraction = units - (long) units;
             from = to;
         }
     }
 
-    /** Adds units of a peer. */
-    void add(final UnitLot lot, final long nowNanos) {
+    /** Adds units of a peer, granted to claims by the collector or unused by another peer. */
+    void add(final UnitLot lot, final boolean isGranted, final long nowNanos) {
         if (!isUnlimited()) {
-            mStock.add(lot.units(), Math.min(lot.expiryNanos(), nowNanos + mAllowance.lifeNanos()));
+            final UnitStock stock = !isGranted && isPooled(nowNanos) ? mPooled : mStock;
+            stock.add(lot.units(), Math.min(lot.expiryNanos(), nowNanos + mAllowance.lifeNanos()));
         }
     }
 
     long level(final long nowNanos) {
-        return mStock.total(nowNanos);
+        return mStock.total(nowNanos) + mPooled.total(nowNanos);
     }
 
     double ratePerSecond() {
@@ -173,9 +190,11 @@
                         claim.units(),
                         new QuotaClaim.Kind(
                                 isPatient, claim.kind().minimumLifeNanos() + USEFUL_LIFE_NANOS)));
+        mHasCollector = claim.number() != 0;
         final Optional<Cause> hindrance =
                 claim.number() == 0 ? hindrance(claim, inflowShare) : Optional.empty();
         if (hindrance.isPresent()) {
+            onRefusal(nowNanos);
             refuse(claim, hindrance.get(), waitMillis(claim.units(), inflowShare, nowNanos));
             return;
         }
@@ -212,6 +231,7 @@
         for (final QuotaClaim claim : List.copyOf(mClaims)) {
             if (claim.number() == number) {
                 mClaims.remove(claim);
+                onRefusal(nowNanos);
                 refuse(claim, Cause.COLLECTOR_REFUSED, waitMillis);
             }
         }
@@ -222,6 +242,7 @@
         for (final QuotaClaim claim : List.copyOf(mClaims)) {
             if (nowNanos - claim.deadlineNanos() >= 0) {
                 mClaims.remove(claim);
+                onRefusal(nowNanos);
                 refuse(claim, Cause.WAITED, waitMillis(claim.units(), inflowShare, nowNanos));
             }
         }
@@ -236,10 +257,12 @@
 
     /** Takes the units that are likely not needed here. */
     List<UnitLot> takeSurplus(final long nowNanos) {
-        return mStock.takeBeyond(
-                claimedUnits() + (long) (mUsePerSecond * KEPT_SECONDS),
-                MINIMUM_TRANSFER_LIFE_NANOS,
-                nowNanos);
+        final double kept = isPooled(nowNanos) ? 0 : mUsePerSecond * KEPT_SECONDS;
+        final List<UnitLot> lots =
+                mStock.takeBeyond(
+                        claimedUnits() + (long) kept, MINIMUM_TRANSFER_LIFE_NANOS, nowNanos);
+        lots.addAll(mPooled.takeBeyond(0, MINIMUM_TRANSFER_LIFE_NANOS, nowNanos));
+        return lots;
     }
 
     /** Returns whether a permit may be spent now; if so, it is spent. */
@@ -266,6 +289,18 @@
         }
     }
 
+    /**
+     * Returns whether units that accrue here are left to the collector. Otherwise requests that are
+     * small enough for them would take them as they accrue, and larger ones would get none.
+     */
+    boolean isPooled(final long nowNanos) {
+        return mHasCollector && nowNanos - mPoolUntilNanos < 0;
+    }
+
+    private void onRefusal(final long nowNanos) {
+        mPoolUntilNanos = nowNanos + POOLING_NANOS;
+    }
+
     /** Returns the estimated time until units can be had, in milliseconds. */
     private long waitMillis(final long units, final double inflowShare, final long nowNanos) {
         final double missing = claimedUnits() + units - mStock.total(nowNanos);
--- a/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -255,11 +255,16 @@
         quota.claim(claim, supplier, mInflowShare, nowNanos);
     }
 
-    void onUnits(final String customer, final List<UnitLot> lots, final long nowNanos) {
+    /** Adds units of a peer, granted to claims by the collector or unused by another peer. */
+    void onUnits(
+            final String customer,
+            final List<UnitLot> lots,
+            final boolean areGranted,
+            final long nowNanos) {
         final CustomerQuota quota = mQuotas.get(customer);
         if (quota != null) {
             for (final UnitLot lot : lots) {
-                quota.add(lot, nowNanos);
+                quota.add(lot, areGranted, nowNanos);
                 quota.serve(nowNanos);
             }
         }
--- a/core/src/main/java/io/persimmonreel/core/quota/UnitExchange.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/UnitExchange.java
@@ -6,6 +6,8 @@
 import io.persimmonreel.core.peer.PeerMessage.UnitShortage;
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -149,7 +151,9 @@
             for (final UnitGrant grant : transfer.grants()) {
                 final List<UnitLot> lots = UnitLots.ofGrant(grant, transfer.echoNanos());
                 mObserver.onReceived(grant.customer(), UnitLots.sum(lots));
-                mQuota.onUnits(grant.customer(), lots, nowNanos);
+                final boolean isGranted =
+                        collector(grant.customer()).filter(from::equals).isPresent();
+                mQuota.onUnits(grant.customer(), lots, isGranted, nowNanos);
             }
         }
         for (final UnitShortage shortage : transfer.shortages()) {
@@ -176,16 +180,12 @@
      * @param nowNanos the current monotonic time in nanoseconds
      */
     public void onInterval(final long nowNanos) {
-        final List<CustomerQuota> quotas = mQuota.limited();
-        final int count = Math.min(MAXIMUM_CUSTOMERS, quotas.size());
-        for (int i = 0; i < count; i++) {
-            final CustomerQuota quota = quotas.get((mNextCustomer + i) % quotas.size());
+        for (final CustomerQuota quota : nextToGive(nowNanos)) {
             final Link link = collector(quota.name()).map(mLinks::get).orElse(null);
             if (link != null && link.mHasHeard) {
                 give(link, quota.name(), quota.takeSurplus(nowNanos), nowNanos);
             }
         }
-        mNextCustomer = quotas.isEmpty() ? 0 : (mNextCustomer + count) % quotas.size();
         for (final Incarnation peer : mRouting.partners()) {
             final Link link = mLinks.get(peer);
             if (link != null) {
@@ -209,6 +209,24 @@
                 });
     }
 
+    /**
+     * Returns the customers whose units are sent now: those in a shortage first, whose units can't
+     * be used here, and the others in turn.
+     */
+    private List<CustomerQuota> nextToGive(final long nowNanos) {
+        final List<CustomerQuota> quotas = new ArrayList<>(mQuota.limited());
+        if (quotas.isEmpty()) {
+            return quotas;
+        }
+        Collections.rotate(quotas, -(mNextCustomer % quotas.size()));
+        quotas.sort(Comparator.comparing(quota -> !quota.isPooled(nowNanos)));
+        final List<CustomerQuota> next =
+                quotas.subList(0, Math.min(MAXIMUM_CUSTOMERS, quotas.size()));
+        final int others = (int) next.stream().filter(quota -> !quota.isPooled(nowNanos)).count();
+        mNextCustomer = (mNextCustomer + (others == 0 ? next.size() : others)) % quotas.size();
+        return next;
+    }
+
     private Optional<Incarnation> collector(final String customer) {
         return mRouting.collector(customer).filter(mLinks::containsKey);
     }
--- a/core/src/test/java/io/persimmonreel/core/quota/QuotaFleet.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/QuotaFleet.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
 
 /**
  * Plays the requests of one customer to a fleet of daemons in virtual time, and counts the units of
@@ -32,12 +33,11 @@
     private final Host[] mHosts;
     private final PriorityQueue<Message> mMessages = new PriorityQueue<>();
     private final Deque<long[]> mSends = new ArrayDeque<>();
+    private final List<Request> mOffered = new ArrayList<>();
     private RelayCustomer mCustomer;
     private double mDue;
     private boolean mAcceptsSends = true;
-    private boolean mHasLargeRequests = true;
-    private int mMinimumUnits = 200;
-    private int mMaximumUnits = 4_000;
+    private ToLongFunction<SplittableRandom> mSizes = QuotaFleet::size;
     private int mNowMillis;
     private long mSequence;
     private long mInWindow;
@@ -83,6 +83,7 @@
         private final long mUnits;
         private final int mArrivedMillis;
         private boolean mWasRefused;
+        private boolean mWasSent;
         private Object mAttachment;
 
         Request(final long units, final int arrivedMillis) {
@@ -94,6 +95,10 @@
             return mUnits;
         }
 
+        boolean wasSent() {
+            return mWasSent;
+        }
+
         /** Returns what the model of the daemon attached, null if nothing. */
         Object attachment() {
             return mAttachment;
@@ -214,6 +219,7 @@
 
     /** Starts to count offered, sent and refused units anew; the windows go on. */
     void resetCounts() {
+        mOffered.clear();
         mOfferedUnits = 0;
         mSentUnits = 0;
         mRefusedUnits = 0;
@@ -225,9 +231,24 @@
 
     /** Sets the range of the units of requests from now on; none of them is large. */
     void useSizes(final int minimum, final int maximum) {
-        mHasLargeRequests = false;
-        mMinimumUnits = minimum;
-        mMaximumUnits = maximum;
+        useSizes(random -> minimum + random.nextInt(maximum - minimum));
+    }
+
+    /** Sets what draws the units of requests from now on. */
+    void useSizes(final ToLongFunction<SplittableRandom> sizes) {
+        mSizes = sizes;
+    }
+
+    /** Returns the requests that were offered since the counts were reset. */
+    List<Request> offered() {
+        return mOffered;
+    }
+
+    /** Draws the units of a request; one in 20 is large. */
+    private static long size(final SplittableRandom random) {
+        return random.nextInt(20) == 0
+                ? 4_000 + random.nextInt(16_000)
+                : 200 + random.nextInt(3_800);
     }
 
     /** Changes the quota of the customer at all daemons. */
@@ -389,18 +410,17 @@
         mMessages.addAll(late);
     }
 
-    /** Offers requests; the first daemon gets a third of them, and one in 20 is large. */
+    /** Offers requests; the first daemon gets a third of them. */
     private void offer(final double unitsPerSecond) {
         for (mDue += unitsPerSecond * STEP_MILLIS / 1_000; mDue > 0; ) {
-            final long units =
-                    mHasLargeRequests && mRandom.nextInt(20) == 0
-                            ? 4_000 + mRandom.nextInt(16_000)
-                            : mMinimumUnits + mRandom.nextInt(mMaximumUnits - mMinimumUnits);
+            final long units = mSizes.applyAsLong(mRandom);
             mDue -= units;
             final int index = mRandom.nextInt(3) == 0 ? 0 : mRandom.nextInt(size());
             if (isRunning(index)) {
                 mOfferedUnits += units;
-                mHosts[index].mDaemon.offer(new Request(units, mNowMillis), nowNanos());
+                final Request request = new Request(units, mNowMillis);
+                mOffered.add(request);
+                mHosts[index].mDaemon.offer(request, nowNanos());
             }
         }
     }
@@ -416,6 +436,7 @@
             } else if (!mAcceptsSends) {
                 host.mQueue.add(request);
             } else if (host.mDaemon.trySend(request, nowNanos())) {
+                request.mWasSent = true;
                 count(request.mUnits);
             } else {
                 host.mDaemon.offer(request, nowNanos());
--- a/core/src/test/java/io/persimmonreel/core/quota/UnitExchangeTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/UnitExchangeTest.java
@@ -6,10 +6,12 @@
 import io.persimmonreel.core.peer.PeerMessage.UnitTransfer;
 import io.persimmonreel.core.route.RelayCustomer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -77,6 +79,22 @@
             }
         }
 
+        void claim(final long units, final long nowNanos) {
+            mQuota.claim(
+                    CUSTOMER,
+                    units,
+                    false,
+                    new QuotaClaim.Listener() {
+                        @Override
+                        public void onGranted(final QuotaPermit permit, final long grantedNanos) {}
+
+                        @Override
+                        public void onRefused(final ClaimRefusal refusal) {}
+                    },
+                    nowNanos);
+            mExchange.flush(nowNanos);
+        }
+
         long level(final long nowNanos) {
             mQuota.onTimer(nowNanos);
             return mQuota.state(CUSTOMER, nowNanos).orElseThrow().level();
@@ -113,6 +131,31 @@
             assertThat(mUser.mSent.getLast().grants()).hasSize(1);
         }
 
+        @Test
+        void ofACustomerInAShortageDoNotExpireBehindThoseOfManyOthers() {
+            connect();
+            final List<RelayCustomer> customers = new ArrayList<>();
+            for (int i = 0; i < 1_000; i++) {
+                customers.add(
+                        new RelayCustomer(
+                                "c" + i, List.of("k" + i), OptionalInt.empty(), 10, 10, true, 1));
+            }
+            customers.add(CUSTOMER);
+            mUser.mQuota.configure(customers, 1_000 * MILLI);
+            mUser.mQuota.onShare(0.1, 1, 1_000 * MILLI);
+            mUser.claim(1_000_000, 1_000 * MILLI);
+            mCollector.receive(mUser, 1_000 * MILLI);
+            mCollector.mExchange.flush(1_000 * MILLI);
+            mUser.receive(mCollector, 1_001 * MILLI);
+            for (long millis = 1_200; millis < 2_000; millis += 200) {
+                mUser.mSent.clear();
+                mUser.level(millis * MILLI);
+                mUser.mExchange.onInterval(millis * MILLI);
+                assertThat(mUser.mSent.getLast().grants())
+                        .anyMatch(grant -> grant.customer().equals(CUSTOMER.name()));
+            }
+        }
+
         @Test
         void areLostWithTheirMessage() {
             connect();
