Test a stream whose route moves to another upstream

Records of streams are keyed by upstream. If a route moves while a stream is interrupted, the daemon that began it finds no record, and lets it go on at the only version of the next upstream (ORDER).

--- a/core/src/test/java/io/persimmonreel/core/stream/StreamExchangeTest.java
+++ b/core/src/test/java/io/persimmonreel/core/stream/StreamExchangeTest.java
@@ -15,6 +15,7 @@
 import java.util.function.LongConsumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class StreamExchangeTest {
@@ -362,6 +363,38 @@
         }
     }
 
+    @Nested
+    class WhenTheRouteMoves {
+        private static final String NEXT = "llm2";
+
+        private void serve(final Daemon daemon) {
+            final ReplicaEntry old = entry("a", UPSTREAM, "v1");
+            final ReplicaEntry next = entry("b", NEXT, "v2");
+            daemon.mVersions.software().onEntry(next);
+            daemon.mVersions.software().onReplicas(List.of(old, next), now(), mNowMillis);
+            daemon.mVersions.software().onCurrent(now(), mNowMillis);
+        }
+
+        private ReplicaEntry entry(final String id, final String upstream, final String version) {
+            return new ReplicaEntry(
+                    id, upstream, "10.0.0.1", 80, "z", 4, false, mNowMillis, 0, version);
+        }
+
+        /** Guards against a join at the only version of the upstream that a route moved to. */
+        @Tag("known-red")
+        @Test
+        void aStreamDoesNotGoOnAtAnUpstreamThatDidNotBeginIt() {
+            final Daemon daemon = mesh(1)[0];
+            serve(daemon);
+            mature(daemon);
+            daemon.begun("a", "v1");
+            daemon.mExchange.begin("b", NEXT, "a", AGE_MILLIS, now());
+            confirm(daemon);
+            pass(MATURE_MILLIS);
+            assertThat(daemon.mOutcomes).doesNotContainEntry("b", "v2");
+        }
+    }
+
     @Nested
     class InALargeFleet {
         private final Daemon mHome = new Daemon();
