Place streams that callers take up before new ones of their rank

Callers saw: a stream that broke off was taken up at another daemon, its software version was known at once, and the attempt got 503 "all replicas are busy".

Cause: once its version is known, the attempt waited like a new stream. New streams that had come before were placed first, it left the last free slot to others when it was late, and it was refused by a forecast of the wait behind all requests of the upstream and of the length of a whole response.

Change: a request that is bound to a version by its first event, here or at another daemon, takes the first place of its rank; the places of the other ranks stay. It is sent to a replica with a free slot even if it is late, or as the next one if its event is in time there, and is refused only once no slot would be in time for its next event. The number of such requests is bounded by the streams that broke off and by the limits on waiting requests.

--- a/core/src/main/java/io/persimmonreel/core/admission/Admission.java
+++ b/core/src/main/java/io/persimmonreel/core/admission/Admission.java
@@ -42,4 +42,26 @@
         }
         return place.waitMillis() <= left.latestStartMillis(run) ? Decision.HOLD : Decision.REFUSE;
     }
+
+    /**
+     * Decides whether a request that continues a stream is sent, waits or is refused.
+     *
+     * <p>Its prompt and its caller's wait are spent already, and other daemons have the same few
+     * replicas for it. So it gets the next slot of the chosen replica even if it is late, and is
+     * refused only once no slot would be in time for its next event. The forecast of a whole
+     * response doesn't tell how long the rest takes.
+     *
+     * @param left the time that the caller has left
+     * @param replica what the request finds at the replica that was chosen for it
+     * @param run how long a whole response takes from the time at which the request gets a slot
+     * @return the decision
+     */
+    public static Decision decideContinuation(
+            final TimeLeft left, final ReplicaForecast replica, final RunForecast run) {
+        final double firstEventMillis = Math.min(left.firstEventMillis(), left.deadlineMillis());
+        if (replica.takesContinuation(firstEventMillis)) {
+            return Decision.SEND;
+        }
+        return run.firstMillis() <= firstEventMillis ? Decision.HOLD : Decision.REFUSE;
+    }
 }
--- a/core/src/main/java/io/persimmonreel/core/admission/OverloadOrder.java
+++ b/core/src/main/java/io/persimmonreel/core/admission/OverloadOrder.java
@@ -1,9 +1,11 @@
 package io.persimmonreel.core.admission;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -21,6 +23,9 @@
  * deferred until the rest fits (Moore and Hodgson 1968). Deferred requests come after those that
  * fit, late ones last. If all fit, this is earliest start first, so there are no two modes between
  * which it could change.
+ *
+ * <p>Requests that continue a stream come before the others of their rank. They take the places of
+ * these, so that the order between ranks stays the same.
  */
 public final class OverloadOrder {
     private OverloadOrder() {}
@@ -35,11 +40,17 @@
      *     time, negative if it can't be any more
      * @param slotMillis the time in milliseconds for which it takes a slot
      * @param rank the priority rank, 0 is the highest
+     * @param isContinuation whether the request continues a stream that has begun
      */
     public record Candidate<T>(
-            T request, QueuePosition position, double punctualMillis, double slotMillis, int rank) {
+            T request,
+            QueuePosition position,
+            double punctualMillis,
+            double slotMillis,
+            int rank,
+            boolean isContinuation) {
         /**
-         * Describes a request.
+         * Describes a request that begins.
          *
          * @param <T> the type of the request
          * @param request the request
@@ -55,7 +66,17 @@
                     QueuePosition.of(left, run, rank),
                     left.latestPunctualStartMillis(run),
                     run.totalMillis(),
-                    rank);
+                    rank,
+                    false);
+        }
+
+        /**
+         * Returns this request as one that continues a stream.
+         *
+         * @return the same attributes
+         */
+        public Candidate<T> asContinuation() {
+            return new Candidate<>(request, position, punctualMillis, slotMillis, rank, true);
         }
 
         /**
@@ -107,20 +128,39 @@
             final ServedShares served,
             final long nowNanos) {
         final List<Candidate<T>> deferred = deferred(soonest, startMillis, served, nowNanos);
-        final List<T> requests = new ArrayList<>(soonest.size());
+        final List<Candidate<T>> requests = new ArrayList<>(soonest.size());
         final Set<T> isDeferred = Collections.newSetFromMap(new IdentityHashMap<>());
         deferred.forEach(candidate -> isDeferred.add(candidate.request()));
         int next = 0;
         while (next < soonest.size() && !soonest.get(next).position().isLate()) {
             if (!isDeferred.contains(soonest.get(next).request())) {
-                requests.add(soonest.get(next).request());
+                requests.add(soonest.get(next));
             }
             next++;
         }
-        deferred.forEach(candidate -> requests.add(candidate.request()));
-        soonest.subList(next, soonest.size())
-                .forEach(candidate -> requests.add(candidate.request()));
-        return new Arrangement<>(requests, isDeferred);
+        requests.addAll(deferred);
+        requests.addAll(soonest.subList(next, soonest.size()));
+        return new Arrangement<>(
+                continuationsFirst(requests).stream().map(Candidate::request).toList(),
+                isDeferred);
+    }
+
+    /** Moves continuations to the first places of their rank; the places of a rank stay. */
+    private static <T> List<Candidate<T>> continuationsFirst(final List<Candidate<T>> candidates) {
+        if (candidates.stream().noneMatch(Candidate::isContinuation)) {
+            return candidates;
+        }
+        final Map<Integer, Deque<Candidate<T>>> byRank = new HashMap<>();
+        for (final boolean isContinuation : new boolean[] {true, false}) {
+            candidates.stream()
+                    .filter(candidate -> candidate.isContinuation() == isContinuation)
+                    .forEach(
+                            candidate ->
+                                    byRank.computeIfAbsent(
+                                                    candidate.rank(), rank -> new ArrayDeque<>())
+                                            .add(candidate));
+        }
+        return candidates.stream().map(candidate -> byRank.get(candidate.rank()).remove()).toList();
     }
 
     /** Returns the requests that can't all be on time, those worth most first. */
--- a/core/src/main/java/io/persimmonreel/core/admission/ReplicaForecast.java
+++ b/core/src/main/java/io/persimmonreel/core/admission/ReplicaForecast.java
@@ -42,4 +42,14 @@
         }
         return free >= 1 || hasRoom() && firstMillis <= left.objectiveMillis();
     }
+
+    /**
+     * Returns whether a request that continues a stream should be sent now.
+     *
+     * @param firstEventMillis the time in milliseconds within which its caller needs an event
+     * @return true if a slot is free for it, or if it is served in time as the next one
+     */
+    boolean takesContinuation(final double firstEventMillis) {
+        return free >= 1 || hasRoom() && firstMillis <= firstEventMillis;
+    }
 }
--- a/core/src/test/java/io/persimmonreel/core/admission/AdmissionTest.java
+++ b/core/src/test/java/io/persimmonreel/core/admission/AdmissionTest.java
@@ -209,4 +209,33 @@
             }
         }
     }
+
+    @Nested
+    class AContinuation {
+        private static final RunForecast RUN = new RunForecast(100, 3_000);
+
+        private Decision decide(final double firstEventMillis, final ReplicaForecast replica) {
+            return Admission.decideContinuation(
+                    new TimeLeft(-1, firstEventMillis, firstEventMillis), replica, RUN);
+        }
+
+        @Test
+        void takesTheLastSlotEvenIfItIsLate() {
+            assertThat(decide(2_000, new ReplicaForecast(1, 4, 100))).isEqualTo(Decision.SEND);
+        }
+
+        @Test
+        void waitsAtAReplicaAsTheNextOneOnlyIfItsEventIsInTime() {
+            assertThat(decide(2_000, new ReplicaForecast(0, 4, 2_000))).isEqualTo(Decision.SEND);
+            assertThat(decide(2_000, new ReplicaForecast(0, 4, 2_001))).isEqualTo(Decision.HOLD);
+            assertThat(decide(2_000, new ReplicaForecast(-1, 4, 100))).isEqualTo(Decision.HOLD);
+        }
+
+        /** Guards against a refusal because of the length of a whole response. */
+        @Test
+        void isHeldUntilNoSlotCanBeInTimeForItsEvent() {
+            assertThat(decide(100, FULL)).isEqualTo(Decision.HOLD);
+            assertThat(decide(99, FULL)).isEqualTo(Decision.REFUSE);
+        }
+    }
 }
--- a/core/src/test/java/io/persimmonreel/core/admission/OverloadOrderTest.java
+++ b/core/src/test/java/io/persimmonreel/core/admission/OverloadOrderTest.java
@@ -179,4 +179,51 @@
             assertThat(arrangement.deferred()).hasSize(1);
         }
     }
+
+    /** Guards against streams that callers take up and that wait behind new ones. */
+    @Nested
+    class Continuations {
+        @Test
+        void comeBeforeOthersOfTheirRank() {
+            final List<Candidate<String>> candidates =
+                    List.of(
+                            candidate("first", 100, 10, 1),
+                            candidate("second", 200, 10, 1),
+                            candidate("taken up", 300, 10, 1).asContinuation());
+            assertThat(arrange(10, candidates).requests())
+                    .containsExactly("taken up", "first", "second");
+        }
+
+        @Test
+        void comeBeforeOthersOfTheirRankIfTheyAreLate() {
+            final List<Candidate<String>> candidates =
+                    List.of(
+                            candidate("large", 100, 900),
+                            candidate("small", 120, 100),
+                            candidate("taken up", -10, 100).asContinuation());
+            assertThat(arrange(1, candidates).requests())
+                    .containsExactly("taken up", "small", "large");
+        }
+
+        @Test
+        void leaveThePlacesOfOtherRanks() {
+            for (int i = 0; i < CASES; i++) {
+                final List<Candidate<String>> begun = anyCandidates();
+                final List<Candidate<String>> mixed =
+                        begun.stream()
+                                .map(c -> mRandom.nextInt(4) == 0 ? c.asContinuation() : c)
+                                .toList();
+                final int slots = 1 + mRandom.nextInt(40);
+                assertThat(ranks(arrange(slots, mixed), mixed))
+                        .isEqualTo(ranks(arrange(slots, begun), begun));
+            }
+        }
+
+        private List<Integer> ranks(
+                final Arrangement<String> arrangement, final List<Candidate<String>> candidates) {
+            return arrangement.requests().stream()
+                    .map(name -> candidates.get(Integer.parseInt(name.substring(1))).rank())
+                    .toList();
+        }
+    }
 }
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -297,11 +297,11 @@
                 chosen.map(choice -> waiting.withRun(choice.run())).orElse(waiting);
         mQueue.update(request);
         final PlaceForecast place = pass.forecast(closed);
-        switch (Admission.decide(
-                timeLeft(call, now),
-                chosen.map(Choice::forecast).orElse(ReplicaForecast.NONE),
-                place,
-                request.run())) {
+        final TimeLeft left = timeLeft(call, now);
+        final ReplicaForecast replica = chosen.map(Choice::forecast).orElse(ReplicaForecast.NONE);
+        switch (call.versionBinding().isBound()
+                ? Admission.decideContinuation(left, replica, request.run())
+                : Admission.decide(left, replica, place, request.run())) {
             case SEND:
                 send(call, chosen.get(), replicas.size(), now);
                 return true;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingRequest.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/WaitingRequest.java
@@ -18,7 +18,9 @@
 
     /** Describes the request for the order of placement, which changes with time. */
     Candidate<WaitingRequest> candidate(final long nowNanos) {
-        return Candidate.of(this, call.task().timeLeft(nowNanos), run, call.task().rank());
+        final Candidate<WaitingRequest> candidate =
+                Candidate.of(this, call.task().timeLeft(nowNanos), run, call.task().rank());
+        return call.versionBinding().isBound() ? candidate.asContinuation() : candidate;
     }
 
     /** Returns the position in the queue, which changes with time. */
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualCaller.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualCaller.java
@@ -73,11 +73,25 @@
 
     /** Sends a whole request at once. */
     void send(final VirtualRequest request, final long deadlineMillis) {
+        send(request, deadlineMillis, "");
+    }
+
+    /** Sends a request that continues the stream of another attempt after its first event. */
+    void takeUp(final VirtualRequest request, final long deadlineMillis, final String attempt) {
+        send(
+                request,
+                deadlineMillis,
+                "Persimmonreel-Resumes: " + attempt + "\r\nLast-Event-ID: 1\r\n");
+    }
+
+    private void send(
+            final VirtualRequest request, final long deadlineMillis, final String fields) {
         mUnanswered.add(request);
         final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         write(
                 bytes,
                 headOf(request)
+                        + fields
                         + "Persimmonreel-Deadline: "
                         + deadlineMillis
                         + "\r\nContent-Length: "
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaConnection.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/VirtualReplicaConnection.java
@@ -40,6 +40,7 @@
     private boolean mInExchange;
     private int mResumeAfter;
     private int mRequests;
+    private String mLastRequest = "";
 
     /** Lists what happens after the bytes of an output. */
     enum Then {
@@ -76,6 +77,11 @@
         return mPort;
     }
 
+    /** Returns the id of the request that arrived last. */
+    String lastRequest() {
+        return mLastRequest;
+    }
+
     /** Returns the number of requests that have arrived. */
     int requests() {
         return mRequests;
@@ -199,6 +205,7 @@
         }
         mRequest.onArrival();
         mRequests++;
+        mLastRequest = id;
         mInExchange = true;
         mBody.reset();
         mAnswering = false;
