Count the prefill once in the predicted total of a response

Placement predicted the end of a response as the wait, the prefill and the longer one of the decode time and the time to the first event after the wait. The latter contains the prefill already, so it was counted twice for prompts that are read for longer than the output takes. Such prompts looked up to twice as long to admission, the order under overload, the estimate of the queue and the check during shutdown.

The total is now the wait, the prefill and the decode time, or the time to the first event if that is later.

--- a/core/src/main/java/io/persimmonreel/core/placement/Placement.java
+++ b/core/src/main/java/io/persimmonreel/core/placement/Placement.java
@@ -350,8 +350,7 @@
                         ? prefillMillis + tokenMillis
                         : Math.min(serviceMillis, 1_000.0);
         final double firstMillis = waitMillis + baseMillis + replica.predictionErrorMillis();
-        final double totalMillis =
-                waitMillis + prefillMillis + Math.max(decodeMillis, firstMillis - waitMillis);
+        final double totalMillis = Math.max(firstMillis, waitMillis + prefillMillis + decodeMillis);
         final double overrunMillis =
                 Math.max(
                         0.0,
--- a/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -1,6 +1,7 @@
 package io.persimmonreel.core.placement;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.placement.WorkSize.PromptPart;
@@ -278,6 +279,36 @@
         }
     }
 
+    /** Tests prompts whose prefill takes longer than the generation of the output. */
+    @Nested
+    class LongPrompts {
+        private static final double TOKEN_MILLIS = 5;
+        private static final double PREFILL_MICROS = 20;
+
+        @Test
+        void areReadOnceInThePredictedTotal() {
+            mReplicas.forEach(replica -> replica.onTokenTime(TOKEN_MILLIS));
+            mReplicas.forEach(replica -> replica.onPrefillTime(PREFILL_MICROS));
+            final WorkSize work = new WorkSize(50_000, 100, 300, List.of());
+            final Choice choice =
+                    mPlacement.choose(work, mReplicas, Set.of(), 15_000, 0).orElseThrow();
+            assertThat(choice.firstMillis()).isCloseTo(1_005, within(1e-6));
+            assertThat(choice.totalMillis()).isCloseTo(1_500, within(1e-6));
+        }
+
+        /** The end of the response is not earlier than its first event. */
+        @Test
+        void endAfterTheFirstEventIfItIsLaterThanMeasuredSpeedsSay() {
+            mReplicas.forEach(replica -> replica.onTokenTime(TOKEN_MILLIS));
+            mReplicas.forEach(replica -> replica.onPrefillTime(PREFILL_MICROS));
+            mReplicas.forEach(replica -> replica.onPredictionError(10_000));
+            final WorkSize work = new WorkSize(50_000, 10, 300, List.of());
+            final Choice choice =
+                    mPlacement.choose(work, mReplicas, Set.of(), 15_000, 0).orElseThrow();
+            assertThat(choice.totalMillis()).isEqualTo(choice.firstMillis());
+        }
+    }
+
     /** Tests replicas whose availability zone is evacuated. */
     @Nested
     class EvacuatedReplicas {
