Judge a waiting request by its own work, not by prompts read before it

Callers with long prompts were refused with "all replicas are busy" while they had time for a later slot.

The run of a waiting request is meant to begin when it gets a slot. But it was taken from the forecast at the replica chosen last, with the prompts that this replica has yet to read and with the mean error of its forecasts. Admission refused what would not fit behind these prompts, although they are read long before the slot is free, and one unfavourable pass is enough for that. The order of the queue called such requests late for the same reason.

Choice.run() now predicts the request's own work at the replica. What it finds there now is in ReplicaForecast alone, which decides whether it is sent as before: its time to the first event contains the wait, so it says by itself whether the request would be late.

WaitingRequestTest failed before in isNotRefusedForPromptsThatAReplicaReadsNow and isNotRefusedForASlowReplicaWhileAnotherReturns: both requests were refused at once. The replica in the latter is slow by the error of its forecasts. PlacementTest, AdmissionTest, StaleFleetTest, CachedPromptFleetTest and the tests of the relay in virtual time pass.

--- a/core/src/main/java/io/persimmonreel/core/admission/Admission.java
+++ b/core/src/main/java/io/persimmonreel/core/admission/Admission.java
@@ -29,7 +29,8 @@
      * @param left the time that the caller has left
      * @param replica what the request finds at the replica that was chosen for it
      * @param place when the request is expected to get a slot if it waits
-     * @param run how long the response takes from the time at which the request gets a slot
+     * @param run how long the response takes from the time at which the request gets a slot, if it
+     *     waits for one
      * @return the decision
      */
     public static Decision decide(
@@ -37,7 +38,7 @@
             final ReplicaForecast replica,
             final PlaceForecast place,
             final RunForecast run) {
-        if (replica.takes(left, run)) {
+        if (replica.takes(left)) {
             return Decision.SEND;
         }
         return place.waitMillis() <= left.latestStartMillis(run) ? Decision.HOLD : Decision.REFUSE;
--- a/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/PlacementTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
+import io.persimmonreel.core.admission.RunForecast;
 import io.persimmonreel.core.placement.Placement.Choice;
 import io.persimmonreel.core.placement.WorkSize.PromptPart;
 import io.persimmonreel.core.replica.Replica;
@@ -296,6 +297,18 @@
             assertThat(choice.totalMillis()).isCloseTo(1_500, within(1e-6));
         }
 
+        /** Guards against waiting requests that are refused for the prompts of others. */
+        @Test
+        void takeNoLongerAfterAWaitBecauseOthersAreReadNow() {
+            mReplicas.forEach(replica -> replica.onPrefillTime(PREFILL_MICROS));
+            final WorkSize work = new WorkSize(50_000, 100, 300, List.of());
+            final RunForecast idle = mPlacement.fastestRun(work, mReplicas);
+            mReplicas.forEach(replica -> replica.onSent(500_000));
+            final Choice choice =
+                    mPlacement.choose(work, mReplicas, Set.of(), 15_000, 0).orElseThrow();
+            assertThat(choice.run(work)).isEqualTo(idle);
+        }
+
         /** The end of the response is not earlier than its first event. */
         @Test
         void endAfterTheFirstEventIfItIsLaterThanMeasuredSpeedsSay() {
--- a/core/src/test/java/io/persimmonreel/core/placement/SimulatedFleet.java
+++ b/core/src/test/java/io/persimmonreel/core/placement/SimulatedFleet.java
@@ -260,8 +260,8 @@
                 return false;
             }
             final Choice choice = chosen.get();
-            request.mRun = choice.run();
-            switch (Admission.decide(timeLeft(request), choice.forecast(), place, choice.run())) {
+            request.mRun = choice.run(request.mWork);
+            switch (Admission.decide(timeLeft(request), choice.forecast(), place, request.mRun)) {
                 case SEND:
                     request.mChoice = choice;
                     request.mDaemon = this;
--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -294,7 +294,8 @@
             return true;
         }
         final WaitingRequest request =
-                chosen.map(choice -> waiting.withRun(choice.run())).orElse(waiting);
+                chosen.map(choice -> waiting.withRun(choice.run(call.task().work())))
+                        .orElse(waiting);
         mQueue.update(request);
         final PlaceForecast place = pass.forecast(closed);
         final TimeLeft left = timeLeft(call, now);
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/WaitingRequestTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/WaitingRequestTest.java
@@ -24,6 +24,12 @@
     private static final ReplicaEntry ENTRY =
             new ReplicaEntry("r0", "app", "127.0.0.1", 1, "zone", 1, false, 1);
 
+    private static final ReplicaEntry SLOW_ENTRY =
+            new ReplicaEntry("r1", "app", "127.0.0.1", 2, "zone", 1, false, 1);
+
+    /** Tokens whose prefill takes longer than any caller has time. */
+    private static final int LONG_PROMPTS = 1_000_000;
+
     private VirtualRelay mRelay = newRelay(HeldLimits.STANDARD);
     private final List<VirtualCaller> mCallers = new ArrayList<>();
 
@@ -146,6 +152,36 @@
             assertThat(mRelay.isConnecting()).isTrue();
         }
 
+        /** Guards against large prompts that are refused for others that are read until then. */
+        @Test
+        void isNotRefusedForPromptsThatAReplicaReadsNow() {
+            final Replica replica = addBusyReplica();
+            replica.onSent(LONG_PROMPTS);
+            send(DEADLINE_MILLIS);
+            mRelay.advance(TimeUnit.SECONDS.toMillis(1));
+            assertThat(mRelay.service().waiting()).isEqualTo(1);
+            replica.onPrefilled(LONG_PROMPTS);
+            replica.onEnded();
+            replica.onEnded();
+            mRelay.advance(STEP_MILLIS);
+            assertThat(mRelay.isConnecting()).isTrue();
+        }
+
+        /** Guards against requests that are refused for the only replica that is open now. */
+        @Test
+        void isNotRefusedForASlowReplicaWhileAnotherReturns() {
+            mRelay.onReplicas(List.of(ENTRY, SLOW_ENTRY));
+            final Replica slow = mRelay.service().replicas().find(SLOW_ENTRY.id()).orElseThrow();
+            slow.onSent(0);
+            slow.onPredictionError(10 * DEADLINE_MILLIS);
+            final Replica other = mRelay.service().replicas().find(ENTRY.id()).orElseThrow();
+            other.onServed(SERVICE_MILLIS);
+            other.availability().onPushBack(TimeUnit.SECONDS.toNanos(1), mRelay.monotonicNanos());
+            send(DEADLINE_MILLIS);
+            mRelay.advance(TimeUnit.SECONDS.toMillis(1) + STEP_MILLIS);
+            assertThat(mRelay.connectingPort()).isEqualTo(ENTRY.port());
+        }
+
         @Test
         void isNeverRefusedSoonerThanOneWithLess() {
             for (final Reason reason : Reason.values()) {
