Simulate overload with sizes of a heavier tail

Sizes in the simulation had a standard deviation of the logarithm of 0.5. Those of the deployments have a heavier tail, with largest requests of about nine times the mean. Bursts of 1.2 and 1.5 times the capacity at 7, 30 and 59 daemons with 0.7 and 0.9 are added. The largest tenth of each kind, and the fifth below it, are to be served at least half as often as the whole kind.

--- a/core/src/test/java/io/persimmonreel/core/admission/OverloadLoads.java
+++ b/core/src/test/java/io/persimmonreel/core/admission/OverloadLoads.java
@@ -2,6 +2,7 @@
 
 import io.persimmonreel.core.admission.SimulatedOverload.Kind;
 import io.persimmonreel.core.admission.SimulatedOverload.Load;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -11,6 +12,10 @@
 final class OverloadLoads {
     private static final int SLOTS = 130;
     private static final int FEW_DAEMONS = 10;
+    private static final double SIZE_SPREAD = 0.5;
+    private static final int[] DAEMONS = {7, 30, 59};
+    private static final double[] BURSTS = {1.2, 1.5};
+    private static final double[] HEAVY_TAILS = {0.7, 0.9};
 
     private OverloadLoads() {}
 
@@ -35,6 +40,21 @@
                 engines("guion plain", 24, 4, 15, 1.5, plain(57.1, 307, 139, 55.8, 1_540)));
     }
 
+    /** Returns bursts of requests of which the largest have about nine times the mean size. */
+    static List<Load> ofHeavyTails() {
+        final List<Load> loads = new ArrayList<>();
+        for (final int daemons : DAEMONS) {
+            for (final double burst : BURSTS) {
+                for (final double spread : HEAVY_TAILS) {
+                    final String name =
+                            String.format("kunaflow, %s daemons, %s, %s", daemons, burst, spread);
+                    loads.add(new Load(name, 420, daemons, 15, burst, spread, kunaflow()));
+                }
+            }
+        }
+        return loads;
+    }
+
     private static Load engines(
             final String name,
             final int slots,
@@ -48,6 +68,7 @@
                 daemons,
                 seconds,
                 burst,
+                SIZE_SPREAD,
                 kinds);
     }
 
--- a/core/src/test/java/io/persimmonreel/core/admission/OverloadSimulationTest.java
+++ b/core/src/test/java/io/persimmonreel/core/admission/OverloadSimulationTest.java
@@ -117,6 +117,21 @@
             assertThatKindsAreServedFairly(results, now);
         }
 
+        @ParameterizedTest
+        @MethodSource("io.persimmonreel.core.admission.OverloadLoads#ofHeavyTails")
+        void servesTheLargestAtLeastHalfAsOftenAsTheirKind(final Load load) {
+            simulate(load, "scheduler", SchedulerOrder::new)
+                    .forEach(
+                            (kind, result) -> {
+                                assertThat(result.largestServed())
+                                        .as("largest tenth of %s", kind.name())
+                                        .isGreaterThanOrEqualTo(result.served() / 2);
+                                assertThat(result.largeServed())
+                                        .as("fifth below it of %s", kind.name())
+                                        .isGreaterThanOrEqualTo(result.served() / 2);
+                            });
+        }
+
         private void assertThatKindsAreServedFairly(
                 final Map<Kind, Result> results, final Result all) {
             results.forEach(
--- a/core/src/test/java/io/persimmonreel/core/admission/SimulatedOverload.java
+++ b/core/src/test/java/io/persimmonreel/core/admission/SimulatedOverload.java
@@ -28,15 +28,15 @@
     private static final double ROUND_TRIP_MILLIS = 2;
     private static final double HONOURED_SHARE = 1.0 / 3;
 
-    /** Standard deviation of the logarithm of a request's size within its kind. */
-    private static final double SIZE_SPREAD = 0.5;
-
     /** Standard deviation of the logarithm of the actual time over the forecast. */
     private static final double FORECAST_SPREAD = 0.2;
 
     /** The quantile of the normal distribution above which the largest tenth lies. */
     private static final double LARGEST_TENTH = 1.2816;
 
+    /** The quantile of the normal distribution above which the largest three tenths lie. */
+    private static final double LARGEST_THREE_TENTHS = 0.5244;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final Load mLoad;
@@ -93,6 +93,7 @@
      * @param slots the slots of all replicas
      * @param daemons the daemons, each of which uses an equal share of the slots
      * @param burst the offered work in the burst, as a multiple of the slots
+     * @param sizeSpread the standard deviation of the logarithm of a request's size within its kind
      */
     record Load(
             String name,
@@ -100,6 +101,7 @@
             int daemons,
             double burstSeconds,
             double burst,
+            double sizeSpread,
             List<Kind> kinds) {
         double endMillis() {
             return BEFORE_MILLIS + burstSeconds * 1_000 + AFTER_MILLIS;
@@ -119,6 +121,8 @@
         private int mLate;
         private int mLargest;
         private int mLargestServed;
+        private int mLarge;
+        private int mLargeServed;
 
         void add(final Result other) {
             mRequests += other.mRequests;
@@ -126,6 +130,8 @@
             mLate += other.mLate;
             mLargest += other.mLargest;
             mLargestServed += other.mLargestServed;
+            mLarge += other.mLarge;
+            mLargeServed += other.mLargeServed;
         }
 
         int requests() {
@@ -148,6 +154,11 @@
             return (double) mLargestServed / mLargest;
         }
 
+        /** Returns the share served of the fifth below the largest tenth. */
+        double largeServed() {
+            return (double) mLargeServed / mLarge;
+        }
+
         double restServed() {
             return (double) (mOnTime + mLate - mLargestServed) / (mRequests - mLargest);
         }
@@ -161,13 +172,14 @@
         public String toString() {
             return String.format(
                     "n %6d  served %.3f  on time %.3f  late %.3f  lost %.3f  largest tenth %.3f"
-                            + "  rest %.3f  worth %.3f",
+                            + "  fifth below %.3f  rest %.3f  worth %.3f",
                     mRequests,
                     served(),
                     onTime(),
                     late(),
                     1 - served(),
                     largestServed(),
+                    largeServed(),
                     restServed(),
                     worth());
         }
@@ -180,6 +192,7 @@
         private final Kind mKind;
         private final double mFirstArrivalMillis = mNowMillis;
         private final boolean mIsLargest;
+        private final boolean mIsLarge;
         private final RunForecast mRun;
         private final RunForecast mActual;
         private double mArrivalMillis = mNowMillis;
@@ -189,7 +202,8 @@
             mKind = kind;
             final double draw = gaussian();
             mIsLargest = draw > LARGEST_TENTH;
-            final double size = sizeOf(draw, SIZE_SPREAD);
+            mIsLarge = !mIsLargest && draw > LARGEST_THREE_TENTHS;
+            final double size = sizeOf(draw, mLoad.sizeSpread());
             // The size of a plain request is not known before it has run.
             final double known = kind.isStream() ? size : 1;
             mRun = new RunForecast(kind.firstMillis() * known, kind.totalMillis() * known);
@@ -248,6 +262,7 @@
                 result.mLate++;
             }
             result.mLargestServed += mIsLargest ? 1 : 0;
+            result.mLargeServed += mIsLarge ? 1 : 0;
         }
     }
 
@@ -412,6 +427,7 @@
                         final Result result = mResults.get(kind);
                         result.mRequests++;
                         result.mLargest += request.mIsLargest ? 1 : 0;
+                        result.mLarge += request.mIsLarge ? 1 : 0;
                         anyDaemon(mRandom).submit(request);
                     }
                     arrive(kind);
