Measure the prefill speed by all prompts that are read until the first event

Callers with long prompts got "all replicas are busy" though a slot came in time: their predicted first event was several times the actual one.

Cause: the prefill time of a token was measured as the time to the first event over the request's own prompt. Prompts that the replica had yet to read before it took most of that time under load, so that a short prompt behind long ones measured a replica that is many times slower. The forecast multiplies that by the size of the prompt.

Change: the time is divided by the tokens that the replica had to read until then, as the forecast multiplies it.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/Dispatch.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/Dispatch.java
@@ -19,6 +19,7 @@
 
     private final Choice mChoice;
     private final long mSentNanos;
+    private final int mPrefillBefore;
     private boolean mCountedAtReplica = true;
     private boolean mPrefillCountedAtReplica = true;
     private boolean mStalled;
@@ -32,6 +33,7 @@
         mChoice = choice;
         mSentNanos = nowNanos;
         mLastHeardNanos = nowNanos;
+        mPrefillBefore = choice.replica().pendingPrefill();
         choice.replica().onSent(choice.prefillTokens());
     }
 
@@ -114,7 +116,9 @@
         if (mChoice.waitMillis() <= 0
                 && prefill >= LONG_PROMPT_TOKENS
                 && !mChoice.cached().isExpected()) {
-            replica().onPrefillTime(firstEventMillis() * MICROS_PER_MILLI / prefill);
+            replica()
+                    .onPrefillTime(
+                            firstEventMillis() * MICROS_PER_MILLI / (mPrefillBefore + prefill));
         }
     }
 
