Serve negligible requests of a customer in a shortage

Cause: requests were granted by arrival whatever their size, so that many callers were refused for few units.

Change: a request of at most a tenth of the customer's mean units does not wait for the claims before it, and takes units that accrue at its daemon.

--- a/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
@@ -23,6 +23,15 @@
     /** The time after a refusal for which units that accrue here are left to the collector. */
     private static final long POOLING_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /**
+     * Requests with at most this share of the mean units of a request take none that matter to
+     * others, so they don't wait behind these.
+     */
+    private static final double NEGLIGIBLE_SHARE = 0.1;
+
+    /** The weight of one more request in the mean units of a request. */
+    private static final double MEAN_WEIGHT = 0.05;
+
     /** The shortest and the longest time for which a claim waits, in nanoseconds. */
     private static final long MINIMUM_HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -69,6 +78,7 @@
     private long mUsedSinceTick;
     private long mTickNanos;
     private double mUsePerSecond;
+    private double mMeanUnits;
 
     CustomerQuota(final String name, final Allowance allowance, final long nowNanos) {
         mName = name;
@@ -146,7 +156,8 @@
     }
 
     /**
-     * Takes units if there are enough and no claim waits for them.
+     * Takes units if there are enough and no claim waits for them, or if they are negligible beside
+     * what other requests need.
      *
      * @param minimumLifeNanos the time for which the units must be usable
      */
@@ -155,7 +166,12 @@
         if (isUnlimited()) {
             return Optional.of(QuotaPermit.UNLIMITED);
         }
-        return mClaims.isEmpty() ? take(units, minimumLifeNanos, nowNanos) : Optional.empty();
+        if (units <= NEGLIGIBLE_SHARE * mMeanUnits) {
+            return take(isPooled(nowNanos) ? mPooled : mStock, units, minimumLifeNanos, nowNanos);
+        }
+        return mClaims.isEmpty()
+                ? take(mStock, units, minimumLifeNanos, nowNanos)
+                : Optional.empty();
     }
 
     /**
@@ -170,6 +186,7 @@
             final double inflowShare,
             final long nowNanos) {
         final boolean isPatient = claim.kind().isPatient();
+        mMeanUnits += (claim.units() - mMeanUnits) * MEAN_WEIGHT;
         final Optional<QuotaPermit> permit =
                 tryTake(claim.units(), claim.kind().minimumLifeNanos(), nowNanos);
         if (permit.isPresent()) {
@@ -212,7 +229,7 @@
                 continue;
             }
             final Optional<QuotaPermit> permit =
-                    take(claim.units(), claim.kind().minimumLifeNanos(), nowNanos);
+                    take(mStock, claim.units(), claim.kind().minimumLifeNanos(), nowNanos);
             if (permit.isEmpty()) {
                 return;
             }
@@ -310,11 +327,14 @@
 
     /** Takes units that don't expire soon, or others if the request is sent by this daemon. */
     private Optional<QuotaPermit> take(
-            final long units, final long minimumLifeNanos, final long nowNanos) {
+            final UnitStock stock,
+            final long units,
+            final long minimumLifeNanos,
+            final long nowNanos) {
         List<UnitLot> lots =
-                mStock.take(units, Math.max(USEFUL_LIFE_NANOS, minimumLifeNanos), nowNanos);
+                stock.take(units, Math.max(USEFUL_LIFE_NANOS, minimumLifeNanos), nowNanos);
         if (lots.isEmpty() && minimumLifeNanos < USEFUL_LIFE_NANOS) {
-            lots = mStock.take(units, minimumLifeNanos, nowNanos);
+            lots = stock.take(units, minimumLifeNanos, nowNanos);
         }
         if (lots.isEmpty()) {
             return Optional.empty();
