Keep the life of units that are sent from two stocks

Cause: a grant states one time of expiry and a step, so its lots have to be in order. In a shortage a daemon sends what is left of its own units and those that it pooled; one after the other they were not in order, and old units arrived with the life of new ones.

Callers saw nothing of it; the bound on a quota was at risk.

--- a/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/CustomerQuota.java
@@ -275,11 +275,12 @@
     /** Takes the units that are likely not needed here. */
     List<UnitLot> takeSurplus(final long nowNanos) {
         final double kept = isPooled(nowNanos) ? 0 : mUsePerSecond * KEPT_SECONDS;
-        final List<UnitLot> lots =
+        final UnitStock surplus = new UnitStock();
+        surplus.addAll(
                 mStock.takeBeyond(
-                        claimedUnits() + (long) kept, MINIMUM_TRANSFER_LIFE_NANOS, nowNanos);
-        lots.addAll(mPooled.takeBeyond(0, MINIMUM_TRANSFER_LIFE_NANOS, nowNanos));
-        return lots;
+                        claimedUnits() + (long) kept, MINIMUM_TRANSFER_LIFE_NANOS, nowNanos));
+        surplus.addAll(mPooled.takeBeyond(0, MINIMUM_TRANSFER_LIFE_NANOS, nowNanos));
+        return surplus.takeBeyond(0, 0, nowNanos);
     }
 
     /** Returns whether a permit may be spent now; if so, it is spent. */
--- a/core/src/main/java/io/persimmonreel/core/quota/UnitLots.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/UnitLots.java
@@ -24,13 +24,19 @@
      *     another one; not empty
      * @param nowNanos the current monotonic time in nanoseconds
      * @return one grant of all units, in the same order
+     * @throws IllegalArgumentException if the lots are not in order
      */
     static UnitGrant toGrant(final String customer, final List<UnitLot> lots, final long nowNanos) {
         final long first = lots.get(0).expiryNanos();
         final boolean isAscending = first <= lots.get(lots.size() - 1).expiryNanos();
         final List<Long> units = new ArrayList<>();
         for (final UnitLot lot : lots) {
+            final boolean isInOrder =
+                    isAscending ? lot.expiryNanos() >= first : lot.expiryNanos() <= first;
             final long steps = Math.abs(lot.expiryNanos() - first) / UnitStock.SLOT_NANOS;
+            if (!isInOrder || steps < units.size()) {
+                throw new IllegalArgumentException("lots must be in order: " + lots);
+            }
             while (units.size() < steps) {
                 units.add(0L);
             }
--- a/core/src/test/java/io/persimmonreel/core/quota/UnitLotsTest.java
+++ b/core/src/test/java/io/persimmonreel/core/quota/UnitLotsTest.java
@@ -1,6 +1,7 @@
 package io.persimmonreel.core.quota;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.persimmonreel.core.peer.PeerMessage.UnitGrant;
 import java.util.Collections;
@@ -39,6 +40,18 @@
             assertThat(sendAndReceive(lots, 0)).isEqualTo(lots);
         }
 
+        @Test
+        void mustBeInOrder() {
+            final List<UnitLot> lots =
+                    List.of(
+                            new UnitLot(3, 20 * SLOT),
+                            new UnitLot(4, 19 * SLOT),
+                            new UnitLot(5, 30 * SLOT));
+            assertThatThrownBy(() -> sendAndReceive(lots, 0))
+                    .isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageContaining("in order");
+        }
+
         @Test
         void neverLiveLongerThanTheGivenOnes() {
             final List<UnitLot> lots =
