Follow the present collector while units are pooled

Cause: whether a daemon has a collector was taken from its last claim. If the link was lost and no claim followed, claims that waited got nothing of what accrued here, and each that ran into its time limit prolonged the state.

--- a/core/src/main/java/io/persimmonreel/core/quota/ClaimRefusal.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/ClaimRefusal.java
@@ -19,7 +19,7 @@
         /** The daemon that collects the customer's units refused the claim. */
         COLLECTOR_REFUSED("collector-refused"),
         /** That daemon refused another claim shortly before, so this one was not sent to it. */
-        COLLECTOR_REFUSED_LATELY("collector-refused-lately"),
+        COLLECTOR_REFUSED_RECENTLY("collector-refused-recently"),
         /** The claims before it need more time than a claim may wait. */
         CLAIMS_BEFORE_IT("claims-before-it"),
         /** It needs more units than can be in store at once. */
--- a/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/FleetQuota.java
@@ -54,7 +54,7 @@
                 mQuotas.put(
                         customer.name(), new CustomerQuota(customer.name(), allowance, nowNanos));
             } else {
-                existing.accrue(mShare, nowNanos);
+                existing.accrue(mShare, mSupplier, nowNanos);
                 existing.configure(allowance, nowNanos);
             }
         }
@@ -84,7 +84,7 @@
      */
     public void onShare(final double share, final double inflowShare, final long nowNanos) {
         if (share != mShare) {
-            mQuotas.values().forEach(quota -> quota.accrue(mShare, nowNanos));
+            mQuotas.values().forEach(quota -> quota.accrue(mShare, mSupplier, nowNanos));
         }
         mShare = share;
         mInflowShare = Math.max(share, inflowShare);
@@ -113,7 +113,7 @@
         if (quota == null) {
             return Optional.of(QuotaPermit.UNLIMITED);
         }
-        quota.accrue(mShare, nowNanos);
+        quota.accrue(mShare, mSupplier, nowNanos);
         return quota.tryTake(units, 0, nowNanos);
     }
 
@@ -212,7 +212,7 @@
      */
     public void onTimer(final long nowNanos) {
         for (final CustomerQuota quota : List.copyOf(mQuotas.values())) {
-            quota.accrue(mShare, nowNanos);
+            quota.accrue(mShare, mSupplier, nowNanos);
             quota.serve(nowNanos);
             quota.onTimer(mInflowShare, nowNanos);
         }
@@ -251,7 +251,7 @@
             claim.listener().onGranted(QuotaPermit.UNLIMITED, nowNanos);
             return;
         }
-        quota.accrue(mShare, nowNanos);
+        quota.accrue(mShare, mSupplier, nowNanos);
         quota.claim(claim, supplier, mInflowShare, nowNanos);
     }
 
--- a/core/src/main/java/io/persimmonreel/core/quota/QuotaSupplier.java
+++ b/core/src/main/java/io/persimmonreel/core/quota/QuotaSupplier.java
@@ -5,6 +5,16 @@
     /** Requests nothing, for a daemon that is alone. */
     QuotaSupplier NONE = (customer, units, kind) -> 0;
 
+    /**
+     * Returns whether another daemon collects the unused units of a customer and can be reached.
+     *
+     * @param customer the customer's name
+     * @return false if this daemon collects the units itself
+     */
+    default boolean hasCollector(final String customer) {
+        return false;
+    }
+
     /**
      * Requests units of a customer.
      *
