Place new streams past taken-up streams that wait for another version

Cause: a pass ends the search for replicas after 8 requests that find no place, since the rest would find none either. Since taken-up streams come first, and fit the replicas of their version only: with 8 of them waiting, all new streams were refused at once while a replica of another version was free. Found by review.

Evidence: StreamTakeUpOrderTest.doesNotKeepNewStreamsFromAnotherVersionIfManyWait failed before: no connection was opened.

Change: streams that are bound to a version do not count as waiting before others in a pass.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/RelayScheduler.java
@@ -176,7 +176,9 @@
                 newPass(upstream, soonest.get(0).request().run(), maximumUnplaced);
         for (final WaitingRequest request : mOrder.arrange(upstream, soonest, pass, now)) {
             if (request.call().phase() == RelayCall.Phase.WAITING
-                    && !placeIsolated(request, pass)) {
+                    && !placeIsolated(request, pass)
+                    // A bound one may wait for few replicas, while others are free for the rest.
+                    && !request.call().versionBinding().isBound()) {
                 pass.onHeld(request.run().totalMillis());
             }
         }
--- a/daemon/src/test/java/io/persimmonreel/daemon/relay/StreamTakeUpOrderTest.java
+++ b/daemon/src/test/java/io/persimmonreel/daemon/relay/StreamTakeUpOrderTest.java
@@ -119,6 +119,17 @@
             assertThat(nextRequest(2)).isNotEmpty().isNotEqualTo(takeUp.id());
         }
 
+        @Test
+        void doesNotKeepNewStreamsFromAnotherVersionIfManyWait() {
+            for (int i = 0; i < NEW_STREAMS; i++) {
+                takeUp(mRelay.newCaller());
+            }
+            mRelay.advance(STEP_MILLIS);
+            sendNewStreams();
+            assertThat(nextRequest(2)).isNotEmpty();
+            assertThat(mNewStreams.stream().mapToInt(VirtualCaller::unanswered).sum()).isPositive();
+        }
+
         @Test
         void isRefusedOnceNoSlotCanBeInTime() {
             final VirtualCaller caller = mRelay.newCaller();
