Release deferred requests that have ended

The set of deferred requests, which only explains refusals, kept requests with their bodies until the next pass of the upstream.

--- a/daemon/src/main/java/io/persimmonreel/daemon/relay/PlacementOrder.java
+++ b/daemon/src/main/java/io/persimmonreel/daemon/relay/PlacementOrder.java
@@ -4,12 +4,13 @@
 import io.persimmonreel.core.admission.OverloadOrder.Arrangement;
 import io.persimmonreel.core.admission.OverloadOrder.Candidate;
 import io.persimmonreel.core.admission.ServedShares;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 /**
  * Orders the waiting requests of each upstream and reports the periods in which not all of them can
@@ -29,7 +30,9 @@
         private long mBegunNanos;
         private long mLastDeferredNanos;
         private int mMostDeferred;
-        private Set<RelayCall> mDeferred = Set.of();
+
+        /** The requests deferred by the last pass, which may have ended since then. */
+        private final Set<RelayCall> mDeferred = Collections.newSetFromMap(new WeakHashMap<>());
     }
 
     PlacementOrder(final RelayLog log) {
@@ -57,10 +60,8 @@
         final UpstreamState state = state(upstream);
         final Arrangement<WaitingRequest> arrangement =
                 OverloadOrder.arrange(soonest, pass::startMillis, state.mServed, nowNanos);
-        state.mDeferred =
-                arrangement.deferred().stream()
-                        .map(WaitingRequest::call)
-                        .collect(Collectors.toSet());
+        state.mDeferred.clear();
+        arrangement.deferred().forEach(request -> state.mDeferred.add(request.call()));
         if (!arrangement.deferred().isEmpty()) {
             onDeferred(upstream, state, arrangement, nowNanos);
         }
